Set down the shape: folders, core types, registries and their checks

Cause: the first path and every capability after it need one layout to grow on. Ruled out: commands that return decisions; on one loop a query followed by a command without an await is atomic, so the two can stay apart.

--- /dev/null
+++ b/chervilstep/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Everything that does I/O or encodes messages; decides nothing."""
--- /dev/null
+++ b/chervilstep/calls.py
@@ -0,0 +1,284 @@
+"""Typed messages of one request's way through an instance."""
+
+import enum
+from collections.abc import Iterable
+from typing import TypeAlias, final
+
+from chervilstep.refusals import Refusal
+from chervilstep.snapshot import Customer, Route, Upstream
+from chervilstep.types import Deadline, Instant, Verdict
+
+#: Header names and values, in order, as received.
+Headers: TypeAlias = tuple[tuple[str, str], ...]
+
+
+@final
+class Call:
+    """A caller's request, decoded and without its key."""
+
+    __slots__ = (
+        '_body',
+        '_deadline',
+        '_headers',
+        '_key_digest',
+        '_method',
+        '_path',
+        '_target',
+    )
+
+    def __init__(
+        self,
+        method: str,
+        target: str,
+        headers: Iterable[tuple[str, str]],
+        body: bytes,
+        *,
+        key_digest: str | None,
+        deadline: Deadline | None,
+    ) -> None:
+        """Creates a call; ``target`` is the path with the query string."""
+        self._method = method
+        self._target = target
+        self._path = target.partition('?')[0]
+        self._headers = tuple(headers)
+        self._body = body
+        self._key_digest = key_digest
+        self._deadline = deadline
+
+    @property
+    def method(self) -> str:
+        """The HTTP method in upper case."""
+        return self._method
+
+    @property
+    def target(self) -> str:
+        """The path with its query string."""
+        return self._target
+
+    @property
+    def path(self) -> str:
+        """The path without its query string."""
+        return self._path
+
+    @property
+    def headers(self) -> Headers:
+        """End-to-end headers, without the key."""
+        return self._headers
+
+    @property
+    def body(self) -> bytes:
+        """The whole body."""
+        return self._body
+
+    @property
+    def key_digest(self) -> str | None:
+        """The SHA-256 digest of the key in hexadecimal, or None."""
+        return self._key_digest
+
+    @property
+    def deadline(self) -> Deadline | None:
+        """The caller's deadline, when it named one."""
+        return self._deadline
+
+
+@final
+class Ticket:
+    """A call that was admitted: what it is allowed and until when."""
+
+    __slots__ = ('_arrived_at', '_call', '_customer', '_deadline', '_route')
+
+    def __init__(
+        self,
+        call: Call,
+        route: Route,
+        customer: Customer | None,
+        deadline: Deadline,
+        arrived_at: Instant,
+    ) -> None:
+        """Creates a ticket; ``customer`` is None on open routes."""
+        self._call = call
+        self._route = route
+        self._customer = customer
+        self._deadline = deadline
+        self._arrived_at = arrived_at
+
+    @property
+    def call(self) -> Call:
+        """The caller's request."""
+        return self._call
+
+    @property
+    def route(self) -> Route:
+        """The route that matched."""
+        return self._route
+
+    @property
+    def customer(self) -> Customer | None:
+        """The customer whose key the call carries."""
+        return self._customer
+
+    @property
+    def customer_name(self) -> str:
+        """The customer's name, or an empty string on open routes."""
+        return self._customer.name if self._customer else ''
+
+    @property
+    def deadline(self) -> Deadline:
+        """When the answer must have left this instance."""
+        return self._deadline
+
+    @property
+    def arrived_at(self) -> Instant:
+        """When the call was read."""
+        return self._arrived_at
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether the call may run more than once."""
+        return self._route.is_idempotent(self._call.method)
+
+
+@final
+class Attempt:
+    """One try of a ticket at one upstream."""
+
+    __slots__ = ('_deadline', '_number', '_started_at', '_ticket', '_upstream')
+
+    def __init__(
+        self,
+        ticket: Ticket,
+        upstream: Upstream,
+        number: int,
+        started_at: Instant,
+        deadline: Deadline,
+    ) -> None:
+        """Creates the attempt; the first one has the number 1."""
+        self._ticket = ticket
+        self._upstream = upstream
+        self._number = number
+        self._started_at = started_at
+        self._deadline = deadline
+
+    @property
+    def ticket(self) -> Ticket:
+        """What is tried."""
+        return self._ticket
+
+    @property
+    def upstream(self) -> Upstream:
+        """Where it is tried."""
+        return self._upstream
+
+    @property
+    def number(self) -> int:
+        """One for the first attempt of a ticket."""
+        return self._number
+
+    @property
+    def started_at(self) -> Instant:
+        """When the attempt was decided on."""
+        return self._started_at
+
+    @property
+    def deadline(self) -> Deadline:
+        """When the attempt is given up."""
+        return self._deadline
+
+
+@final
+class Ending(enum.Enum):
+    """How an attempt ended."""
+
+    ANSWERED = 'answered'
+    SHED = 'shed'
+    CONNECT_FAILED = 'connect-failed'
+    LOST_BEFORE_WRITE = 'lost-before-write'
+    LOST = 'lost'
+    TIMED_OUT = 'timed-out'
+    BAD_ANSWER = 'bad-answer'
+    TOO_LARGE = 'too-large'
+    CANCELLED = 'cancelled'
+
+
+@final
+class Answer:
+    """A whole answer of an upstream."""
+
+    __slots__ = ('_body', '_headers', '_reason', '_status')
+
+    def __init__(
+        self,
+        status: int,
+        reason: str,
+        headers: Iterable[tuple[str, str]],
+        body: bytes,
+    ) -> None:
+        """Creates an answer with its end-to-end headers."""
+        self._status = status
+        self._reason = reason
+        self._headers = tuple(headers)
+        self._body = body
+
+    @property
+    def status(self) -> int:
+        """The HTTP status."""
+        return self._status
+
+    @property
+    def reason(self) -> str:
+        """The HTTP reason phrase."""
+        return self._reason
+
+    @property
+    def headers(self) -> Headers:
+        """End-to-end headers."""
+        return self._headers
+
+    @property
+    def body(self) -> bytes:
+        """The whole body."""
+        return self._body
+
+
+@final
+class Outcome:
+    """What is known after an attempt: its ending, verdict and answer."""
+
+    __slots__ = ('_answer', '_ended_at', '_ending', '_verdict')
+
+    def __init__(
+        self,
+        ending: Ending,
+        verdict: Verdict,
+        ended_at: Instant,
+        answer: Answer | None = None,
+    ) -> None:
+        """Creates an outcome; only an answered one has an ``answer``."""
+        self._ending = ending
+        self._verdict = verdict
+        self._ended_at = ended_at
+        self._answer = answer
+
+    @property
+    def ending(self) -> Ending:
+        """How the attempt ended."""
+        return self._ending
+
+    @property
+    def verdict(self) -> Verdict:
+        """Whether the request may have run."""
+        return self._verdict
+
+    @property
+    def ended_at(self) -> Instant:
+        """When the attempt ended."""
+        return self._ended_at
+
+    @property
+    def answer(self) -> Answer | None:
+        """The whole answer, when there is one."""
+        return self._answer
+
+
+#: What a caller gets: an answer of an upstream, or a refusal.
+Reply: TypeAlias = Answer | Refusal
--- /dev/null
+++ b/chervilstep/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The subcommands of the command line."""
--- /dev/null
+++ b/chervilstep/hooks.py
@@ -0,0 +1,111 @@
+"""The points at which capabilities join the path of a request.
+
+A capability registers its functions here with decorators; the path runs all
+of them and knows none by name.
+"""
+
+from collections.abc import Callable, Iterator
+from typing import Final, Generic, TypeAlias, TypeVar, final
+
+from chervilstep.calls import Attempt, Outcome, Ticket
+from chervilstep.messages import Message
+from chervilstep.node import Node
+from chervilstep.refusals import Refusal
+from chervilstep.registry import Registry, new_registry
+from chervilstep.snapshot import Service, Upstream
+from chervilstep.types import Instant
+
+Function = TypeVar('Function')
+
+
+@final
+class Steps(Generic[Function]):
+    """Functions that run one after another, in the order of their rank."""
+
+    __slots__ = ('_ranked',)
+
+    def __init__(self) -> None:
+        """Starts without functions."""
+        self._ranked: list[tuple[int, Function]] = []
+
+    def __iter__(self) -> Iterator[Function]:
+        """Walks over the functions, the lowest rank first."""
+        return iter([function for _, function in self._ranked])
+
+    def register(self, rank: int) -> Callable[[Function], Function]:
+        """Returns a decorator that adds its target at ``rank``."""
+
+        def decorate(target: Function) -> Function:
+            self._ranked.append((rank, target))
+            self._ranked.sort(key=_rank_of)
+            return target
+
+        return decorate
+
+
+@final
+class Tick:
+    """A command that runs periodically."""
+
+    __slots__ = ('_command', '_period_seconds')
+
+    def __init__(
+        self, period_seconds: float, command: Callable[[Node, Instant], None]
+    ) -> None:
+        """Creates a tick of ``command``."""
+        self._period_seconds = period_seconds
+        self._command = command
+
+    @property
+    def period_seconds(self) -> float:
+        """The time between two runs."""
+        return self._period_seconds
+
+    @property
+    def command(self) -> Callable[[Node, Instant], None]:
+        """What runs."""
+        return self._command
+
+
+#: Commands that bring state up to date as time passes.
+Periodic: TypeAlias = Callable[[Node, Instant], None]
+#: Queries that may refuse a ticket before it waits or is sent.
+Check: TypeAlias = Callable[[Node, Ticket, Instant], Refusal | None]
+#: Commands that charge a ticket which every check let pass.
+Charge: TypeAlias = Callable[[Node, Ticket, Instant], None]
+#: Commands told of the start of an attempt.
+OnStart: TypeAlias = Callable[[Node, Attempt], None]
+#: Commands told of the end of an attempt.
+OnEnd: TypeAlias = Callable[[Node, Attempt, Outcome], None]
+#: Commands that take in a message of the peer that is named.
+Handler: TypeAlias = Callable[[Node, str, Message, Instant], None]
+#: Queries that choose one of the usable upstreams of a service, or none.
+Policy: TypeAlias = Callable[
+    [Node, Service, tuple[Upstream, ...], Instant], Upstream | None
+]
+
+CHECKS: Final[Steps[Check]] = Steps()
+CHARGES: Final[Steps[Charge]] = Steps()
+ATTEMPT_STARTS: Final[Steps[OnStart]] = Steps()
+ATTEMPT_ENDS: Final[Steps[OnEnd]] = Steps()
+#: Commands by the kind of the message that they take in.
+HANDLERS: Final[Registry[Handler]] = new_registry('message handler')
+#: Message classes by their kind, for the codec.
+MESSAGES: Final[Registry[type[Message]]] = new_registry('message')
+#: Periodic commands by name.
+TICKS: Final[Registry[Tick]] = new_registry('tick')
+POLICIES: Final[Registry[Policy]] = new_registry('policy')
+
+
+def every(period_seconds: float, name: str) -> Callable[[Periodic], Periodic]:
+    """Returns a decorator that runs its target periodically."""
+
+    def decorate(target: Periodic) -> Periodic:
+        TICKS.register(name)(Tick(period_seconds, target))
+        return target
+
+    return decorate
+
+
+def _rank_of(ranked: tuple[int, object]) -> int:
+    return ranked[0]
--- /dev/null
+++ b/chervilstep/members.py
@@ -0,0 +1,158 @@
+"""What an instance knows of the other entry instances."""
+
+import enum
+from collections.abc import Iterable, Mapping
+from typing import final
+
+from chervilstep.types import Deadline
+
+
+@final
+class InstanceState(enum.Enum):
+    """Whether an entry instance takes new callers."""
+
+    LIVE = 'live'
+    LEAVING = 'leaving'
+
+
+@final
+class Instance:
+    """One entry instance as the platform's list describes it."""
+
+    __slots__ = ('_address', '_name', '_peer_address', '_state', '_zone')
+
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        address: str,
+        peer_address: str,
+        state: InstanceState = InstanceState.LIVE,
+    ) -> None:
+        """Creates an instance with its two ``ip:port`` addresses."""
+        self._name = name
+        self._zone = zone
+        self._address = address
+        self._peer_address = peer_address
+        self._state = state
+
+    @property
+    def name(self) -> str:
+        """The name; a replaced instance gets a new one."""
+        return self._name
+
+    @property
+    def zone(self) -> str:
+        """The name of its availability zone."""
+        return self._zone
+
+    @property
+    def address(self) -> str:
+        """Where callers connect to."""
+        return self._address
+
+    @property
+    def peer_address(self) -> str:
+        """Where other instances connect to."""
+        return self._peer_address
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the platform's list calls it leaving."""
+        return self._state is InstanceState.LEAVING
+
+
+@final
+class PeerView:
+    """What was seen of one peer itself, beside the platform's list."""
+
+    __slots__ = ('_alive_until', '_is_leaving', '_load')
+
+    def __init__(self) -> None:
+        """Starts as never heard of."""
+        self._alive_until: Deadline | None = None
+        self._is_leaving = False
+        self._load = float(0)
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the peer itself said that it is leaving."""
+        return self._is_leaving
+
+    @property
+    def load(self) -> float:
+        """The peer's share of its own capacity in use, from 0 to 1."""
+        return self._load
+
+    def is_alive(self, now: float) -> bool:
+        """Whether the peer was heard of recently enough."""
+        return self._alive_until is not None and not (
+            self._alive_until.has_passed(now)
+        )
+
+    def hear(
+        self, alive_until: Deadline, *, is_leaving: bool, load: float
+    ) -> None:
+        """Takes in what a heartbeat says."""
+        self._alive_until = alive_until
+        self._is_leaving = self._is_leaving or is_leaving
+        self._load = load
+
+    def lose(self) -> None:
+        """Notes that the stream to the peer broke."""
+        self._alive_until = None
+
+
+@final
+class Members:
+    """The fleet: the platform's lagging list, and each peer as it is seen."""
+
+    __slots__ = ('_is_leaving', '_listed', '_revision', '_self_name', '_views')
+
+    def __init__(self, self_name: str) -> None:
+        """Starts with an empty list; ``self_name`` is this instance."""
+        self._self_name = self_name
+        self._listed: dict[str, Instance] = {}
+        self._views: dict[str, PeerView] = {}
+        self._revision = 0
+        self._is_leaving = False
+
+    @property
+    def self_name(self) -> str:
+        """The name of this instance."""
+        return self._self_name
+
+    @property
+    def listed(self) -> Mapping[str, Instance]:
+        """The platform's list by name, this instance included."""
+        return self._listed
+
+    @property
+    def revision(self) -> int:
+        """The platform's revision of the list; zero before the first one."""
+        return self._revision
+
+    @property
+    def views(self) -> Mapping[str, PeerView]:
+        """What was seen of each peer by name."""
+        return self._views
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether this instance itself is stopping."""
+        return self._is_leaving
+
+    def replace(self, revision: int, instances: Iterable[Instance]) -> None:
+        """Takes a newer list; an older one is ignored."""
+        if revision < self._revision:
+            return
+        self._revision = revision
+        self._listed = {instance.name: instance for instance in instances}
+
+    def view(self, name: str) -> PeerView:
+        """The view of the peer ``name``, created on first use."""
+        return self._views.setdefault(name, PeerView())
+
+    def leave(self) -> None:
+        """Marks this instance as stopping, for good."""
+        self._is_leaving = True
--- /dev/null
+++ b/chervilstep/node.py
@@ -0,0 +1,86 @@
+"""The whole state of one entry instance."""
+
+import random
+from typing import final
+
+from chervilstep.board import Board
+from chervilstep.configuration import Configuration
+from chervilstep.counters import Counters
+from chervilstep.members import Members
+from chervilstep.messages import Outbox
+from chervilstep.settings import Settings
+from chervilstep.snapshot import Snapshot
+
+
+@final
+class Node:
+    """Holds the parts of an instance's state; commands change them.
+
+    One loop on one thread runs every command and query, so a query and the
+    command that follows it without an await see the same state.
+    """
+
+    __slots__ = (
+        '_board',
+        '_configuration',
+        '_counters',
+        '_members',
+        '_outbox',
+        '_rng',
+        '_settings',
+    )
+
+    def __init__(self, settings: Settings, rng: random.Random) -> None:
+        """Creates the empty state of an instance with these settings."""
+        self._settings = settings
+        self._rng = rng
+        self._configuration = Configuration()
+        self._members = Members(settings.name)
+        self._board = Board()
+        self._counters = Counters()
+        self._outbox = Outbox()
+
+    @property
+    def settings(self) -> Settings:
+        """The settings that the instance was started with."""
+        return self._settings
+
+    @property
+    def rng(self) -> random.Random:
+        """The source of random numbers, seeded in tests."""
+        return self._rng
+
+    @property
+    def configuration(self) -> Configuration:
+        """The accepted sections."""
+        return self._configuration
+
+    @property
+    def snapshot(self) -> Snapshot:
+        """The configuration in force."""
+        return self._configuration.snapshot
+
+    @property
+    def members(self) -> Members:
+        """The other instances."""
+        return self._members
+
+    @property
+    def board(self) -> Board:
+        """The load of the upstreams."""
+        return self._board
+
+    @property
+    def counters(self) -> Counters:
+        """Counts of what happened."""
+        return self._counters
+
+    @property
+    def outbox(self) -> Outbox:
+        """Messages for peers that were not sent yet."""
+        return self._outbox
+
+
+def new_node(settings: Settings, seed: int | None = None) -> Node:
+    """Creates the state of an instance; ``seed`` fixes its random numbers."""
+    return Node(settings, random.Random(seed))
--- /dev/null
+++ b/chervilstep/queries/__init__.py
@@ -0,0 +1,1 @@
+"""Reads of state: each function answers and changes nothing."""
--- /dev/null
+++ b/chervilstep/refusals.py
@@ -0,0 +1,160 @@
+"""Sentinel values for the reasons why a request is refused."""
+
+from typing import Final, final
+
+from chervilstep.types import Verdict
+
+
+@final
+class Refusal:
+    """A reason for not answering a request, with what it says of the run.
+
+    Refusals are compared by identity: each reason is one constant of this
+    module.
+    """
+
+    __slots__ = ('_message', '_reason', '_status', '_verdict')
+
+    def __init__(
+        self,
+        reason: str,
+        status: int,
+        verdict: Verdict,
+        message: str,
+    ) -> None:
+        """Creates the refusal called ``reason`` with its HTTP ``status``."""
+        self._reason = reason
+        self._status = status
+        self._verdict = verdict
+        self._message = message
+
+    def __repr__(self) -> str:
+        """Shows the reason."""
+        return f'<Refusal {self._reason}>'
+
+    @property
+    def reason(self) -> str:
+        """The name of the reason, as callers and metrics see it."""
+        return self._reason
+
+    @property
+    def status(self) -> int:
+        """The HTTP status that callers see."""
+        return self._status
+
+    @property
+    def verdict(self) -> Verdict:
+        """Whether the refused request may have run."""
+        return self._verdict
+
+    @property
+    def message(self) -> str:
+        """One sentence for a person."""
+        return self._message
+
+
+#: Every refusal by its reason, in the order of definition.
+REFUSALS: Final[dict[str, Refusal]] = {}
+
+
+def new_refusal(
+    reason: str,
+    status: int,
+    message: str,
+    verdict: Verdict = Verdict.NOT_RUN,
+) -> Refusal:
+    """Creates a refusal and adds it to ``REFUSALS``."""
+    refusal = Refusal(reason, status, verdict, message)
+    REFUSALS[reason] = refusal
+    return refusal
+
+
+UNKNOWN_ROUTE: Final = new_refusal(
+    'unknown-route', 404, 'No route matches the path.'
+)
+METHOD_NOT_ALLOWED: Final = new_refusal(
+    'method-not-allowed', 405, 'The route does not take this method.'
+)
+MISSING_KEY: Final = new_refusal(
+    'missing-key', 401, 'The route needs a key and the request has none.'
+)
+UNKNOWN_KEY: Final = new_refusal(
+    'unknown-key', 401, 'The key is not known or was revoked.'
+)
+KEY_IN_QUERY: Final = new_refusal(
+    'key-in-query', 400, 'A key must be sent in its header, not in the URL.'
+)
+FORBIDDEN_ROUTE: Final = new_refusal(
+    'forbidden-route', 403, 'The customer may not use this route.'
+)
+STALE_CONFIGURATION: Final = new_refusal(
+    'stale-configuration',
+    503,
+    'This instance cannot confirm that its configuration is current.',
+)
+NOT_READY: Final = new_refusal(
+    'not-ready', 503, 'This instance has no configuration yet.'
+)
+RATE_EXCEEDED: Final = new_refusal(
+    'rate-exceeded', 429, "The customer's rate and burst are used up."
+)
+QUEUE_FULL: Final = new_refusal(
+    'queue-full', 503, 'Too many requests wait for this service.'
+)
+QUEUE_TIMEOUT: Final = new_refusal(
+    'queue-timeout', 503, 'No upstream was free before the deadline.'
+)
+NO_UPSTREAM: Final = new_refusal(
+    'no-upstream', 503, 'The service has no usable upstream.'
+)
+QUARANTINED: Final = new_refusal(
+    'quarantined', 503, 'Requests like this one crashed several upstreams.'
+)
+DEADLINE_PASSED: Final = new_refusal(
+    'deadline-passed', 504, 'The deadline passed before the request was sent.'
+)
+UPSTREAM_SHED: Final = new_refusal(
+    'upstream-shed', 503, 'Every upstream that was tried shed the request.'
+)
+UPSTREAM_UNREACHABLE: Final = new_refusal(
+    'upstream-unreachable', 502, 'No upstream could be connected to.'
+)
+UPSTREAM_LOST: Final = new_refusal(
+    'upstream-lost',
+    502,
+    'The connection to the upstream was lost after the request was sent.',
+    Verdict.MAY_HAVE_RUN,
+)
+UPSTREAM_TIMEOUT: Final = new_refusal(
+    'upstream-timeout',
+    504,
+    'The upstream did not answer before the deadline.',
+    Verdict.MAY_HAVE_RUN,
+)
+ANSWER_TOO_LARGE: Final = new_refusal(
+    'answer-too-large',
+    502,
+    'The answer of the upstream is larger than the limit.',
+    Verdict.RAN,
+)
+BAD_ANSWER: Final = new_refusal(
+    'bad-answer',
+    502,
+    'The upstream sent something that is not a whole HTTP answer.',
+    Verdict.MAY_HAVE_RUN,
+)
+BODY_TOO_LARGE: Final = new_refusal(
+    'body-too-large', 413, 'The body of the request is larger than the limit.'
+)
+BAD_REQUEST: Final = new_refusal(
+    'bad-request', 400, 'The request is not a well-formed HTTP request.'
+)
+LEAVING: Final = new_refusal(
+    'leaving', 503, 'This instance is stopping; use another address.'
+)
+INTERNAL_ERROR: Final = new_refusal(
+    'internal-error',
+    500,
+    'An internal error occurred.',
+    Verdict.MAY_HAVE_RUN,
+)
--- /dev/null
+++ b/chervilstep/registry.py
@@ -0,0 +1,61 @@
+"""Registries that decorators fill, one for each behaviour that varies."""
+
+from collections.abc import Callable
+from typing import Generic, TypeVar, final
+
+from chervilstep.exceptions import UnknownName
+
+Item = TypeVar('Item')
+
+
+@final
+class Registry(Generic[Item]):
+    """Maps the names used in settings and documents to implementations.
+
+    A module that offers an implementation decorates it with
+    ``@registry.register('name')``; callers look it up with ``find``.
+    """
+
+    __slots__ = ('_entries', '_kind')
+
+    def __init__(self, kind: str) -> None:
+        """Creates an empty registry of items of one ``kind``."""
+        self._kind = kind
+        self._entries: dict[str, Item] = {}
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        """The registered names in alphabetical order."""
+        return tuple(sorted(self._entries))
+
+    @property
+    def kind(self) -> str:
+        """What the registered items are, for messages."""
+        return self._kind
+
+    def register(self, name: str) -> Callable[[Item], Item]:
+        """Returns a decorator that registers its target under ``name``."""
+
+        def decorate(target: Item) -> Item:
+            if name in self._entries:
+                raise ValueError(f'{self._kind} {name!r} is already registered')
+            self._entries[name] = target
+            return target
+
+        return decorate
+
+    def find(self, name: str) -> Item:
+        """Returns the item called ``name``.
+
+        Raises:
+            UnknownName: No item has that name; the message lists the names.
+        """
+        try:
+            return self._entries[name]
+        except KeyError:
+            raise UnknownName(self._kind, name, self.names) from None
+
+
+def new_registry(kind: str) -> 'Registry[Item]':
+    """Creates an empty registry of items of one ``kind``."""
+    return Registry(kind)
--- /dev/null
+++ b/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments: stand-ins, load and fault schedules over loopback."""
