--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,114 @@
+"""Builders of test data; every test takes its data from here."""
+
+import hashlib
+
+from chervilstep.calls import Attempt, Call, Ticket
+from chervilstep.node import Node, new_node
+from chervilstep.settings import Settings
+from chervilstep.snapshot import (
+    Customer,
+    Priority,
+    Route,
+    Service,
+    Snapshot,
+    Upstream,
+    ZoneState,
+)
+from chervilstep.types import new_deadline
+
+KEY = 'key-of-fletcher'
+
+
+def digest_of(key):
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def a_settings(name='entry-1', zone='akl'):
+    return Settings(
+        name=name,
+        zone=zone,
+        entry_address='127.0.0.1:0',
+        peer_address='127.0.0.1:0',
+        admin_address='127.0.0.1:0',
+        configuration_source='file:unused.toml',
+        peer_secret='test-secret',
+    )
+
+
+def a_node(snapshot=None, name='entry-1', zone='akl', seed=1) -> Node:
+    node = new_node(a_settings(name, zone), seed)
+    node.configuration.publish(snapshot or a_snapshot())
+    return node
+
+
+def an_upstream(name='strike-1', zone='akl', port=9001, **changes):
+    changes.setdefault('slots', 3)
+    return Upstream(name, f'127.0.0.1:{port}', zone, **changes)
+
+
+def a_service(name='strike', upstreams=None, policy='random'):
+    if upstreams is None:
+        upstreams = [
+            an_upstream(f'{name}-{index}', port=9000 + index)
+            for index in range(1, 4)
+        ]
+    return Service(name, upstreams, policy)
+
+
+def a_route(name='strike', **changes):
+    options = {
+        'path': f'/{name}/',
+        'service': name,
+        'methods': ('GET', 'POST'),
+        'idempotent': ('GET',),
+        'customers': ('fletcher',),
+        'is_open': False,
+        'priority': Priority.NORMAL,
+        'timeout_seconds': 2,
+    }
+    options.update(changes)
+    return Route(name, **options)
+
+
+def a_customer(name='fletcher', rate=100, burst=20, key=KEY):
+    return Customer(name, rate, burst, [digest_of(key)])
+
+
+def a_snapshot(zones=None, services=None, routes=None, customers=None):
+    return Snapshot(
+        zones or {'akl': ZoneState.IN_SERVICE, 'ham': ZoneState.IN_SERVICE},
+        services or [a_service()],
+        routes or [a_route()],
+        customers or [a_customer()],
+    )
+
+
+def a_call(method='GET', target='/strike/1', key=KEY, body=b''):
+    return Call(
+        method,
+        target,
+        (),
+        body,
+        key_digest=digest_of(key) if key else None,
+        deadline=None,
+    )
+
+
+def a_ticket(call=None, route=None, customer=None, now=0):
+    return Ticket(
+        call or a_call(),
+        route or a_route(),
+        customer or a_customer(),
+        new_deadline(now, 2),
+        now,
+    )
+
+
+def an_attempt(ticket=None, upstream=None, number=1, now=0):
+    return Attempt(
+        ticket or a_ticket(now=now),
+        upstream or an_upstream(),
+        number,
+        now,
+        new_deadline(now, 1),
+    )
