Check, compose and accept the sections of the document

Cause: the path of a request needs a configuration in force, and owners edit their sections apart, so that sections can be broken, contradict each other or be halfway through a change.

Change: a section is parsed by a registry of kinds that lists every fault with its place; the verdict depends on the section's own text alone. Revisions never go back; a deletion keeps its revision.

Ruled out: the first definition wins (another section could take a name over by its own name or by an edit of the owner); dropping contradicted routes (their requests fall through to a shorter prefix that may be open).

--- a/chervilstep/configuration.py
+++ b/chervilstep/configuration.py
@@ -1,23 +1,35 @@
 """The accepted sections of the operators' document."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import final
 
+from chervilstep.content import SectionContent
 from chervilstep.snapshot import Snapshot, new_empty_snapshot
 from chervilstep.types import Deadline
 
 
 @final
 class Section:
-    """One accepted section: its text at one revision."""
-
-    __slots__ = ('_name', '_revision', '_text')
-
-    def __init__(self, name: str, revision: int, text: str) -> None:
-        """Creates a section; ``text`` is TOML."""
+    """One accepted section at one revision; without text it was deleted."""
+
+    __slots__ = ('_content', '_name', '_revision', '_text')
+
+    def __init__(
+        self,
+        name: str,
+        revision: int,
+        text: str | None,
+        content: SectionContent | None = None,
+    ) -> None:
+        """Creates a section; ``text`` is TOML, or None for a deletion.
+
+        A deleted section keeps its revision, so that an older text that
+        arrives late does not bring it back.
+        """
         self._name = name
         self._revision = revision
         self._text = text
+        self._content = content or SectionContent()
 
     @property
     def name(self) -> str:
@@ -30,31 +42,67 @@
         return self._revision
 
     @property
-    def text(self) -> str:
-        """The TOML text."""
+    def text(self) -> str | None:
+        """The TOML text, or None when the section was deleted."""
         return self._text
 
+    @property
+    def content(self) -> SectionContent:
+        """What the text defines."""
+        return self._content
+
+
+@final
+class Fault:
+    """Why the newest text of a section is not in force."""
+
+    __slots__ = ('_message', '_revision')
+
+    def __init__(self, revision: int, message: str) -> None:
+        """Creates the fault of the text at ``revision``."""
+        self._revision = revision
+        self._message = message
+
+    @property
+    def revision(self) -> int:
+        """The revision of the refused text."""
+        return self._revision
+
+    @property
+    def message(self) -> str:
+        """The faults, one a line, each with its place."""
+        return self._message
+
 
 @final
 class Configuration:
     """The highest accepted revision of each section, and their snapshot."""
 
-    __slots__ = ('_confirmed_until', '_faults', '_sections', '_snapshot')
+    __slots__ = (
+        '_confirmed_until',
+        '_conflicts',
+        '_faults',
+        '_fingerprint',
+        '_sections',
+        '_snapshot',
+    )
 
     def __init__(self) -> None:
         """Starts with no section."""
         self._sections: dict[str, Section] = {}
-        self._faults: dict[str, str] = {}
+        self._faults: dict[str, Fault] = {}
         self._snapshot = new_empty_snapshot()
+        self._conflicts: tuple[str, ...] = ()
         self._confirmed_until: Deadline | None = None
+        self._fingerprint = b''
 
     @property
     def sections(self) -> Mapping[str, Section]:
-        """The accepted sections by name."""
+        """The accepted sections by name, deleted ones included."""
         return self._sections
 
     @property
-    def faults(self) -> Mapping[str, str]:
+    def faults(self) -> Mapping[str, Fault]:
         """Why the newest text of a section was not accepted, by name."""
         return self._faults
 
@@ -63,24 +111,45 @@
         """What the accepted sections say together."""
         return self._snapshot
 
+    @property
+    def conflicts(self) -> tuple[str, ...]:
+        """What is out of force because sections contradict each other."""
+        return self._conflicts
+
     @property
     def confirmed_until(self) -> Deadline | None:
         """Until when the configuration counts as current; None before."""
         return self._confirmed_until
 
+    @property
+    def fingerprint(self) -> bytes:
+        """A digest of the accepted revisions; empty without sections."""
+        return self._fingerprint
+
     def accept(self, section: Section) -> None:
-        """Puts a section in force; the caller has checked it."""
+        """Takes in a section; the caller has checked it."""
         self._sections[section.name] = section
-        self._faults.pop(section.name, None)
+        fault = self._faults.get(section.name)
+        if fault is not None and fault.revision <= section.revision:
+            self._faults.pop(section.name)
 
-    def refuse(self, name: str, fault: str) -> None:
+    def refuse(self, name: str, fault: Fault) -> None:
         """Notes why the newest text of a section is not accepted."""
         self._faults[name] = fault
 
-    def publish(self, snapshot: Snapshot) -> None:
-        """Replaces the snapshot."""
+    def publish(
+        self,
+        snapshot: Snapshot,
+        conflicts: Iterable[str] = (),
+        fingerprint: bytes = b'',
+    ) -> None:
+        """Puts a snapshot in force."""
         self._snapshot = snapshot
+        self._conflicts = tuple(conflicts)
+        self._fingerprint = fingerprint
 
     def confirm(self, until: Deadline) -> None:
         """Extends the time for which the configuration is current."""
-        self._confirmed_until = until
+        known = self._confirmed_until
+        if known is None or until.at > known.at:
+            self._confirmed_until = until
--- /dev/null
+++ b/chervilstep/queries/composition.py
@@ -0,0 +1,276 @@
+"""Composes the accepted sections to the snapshot that is in force.
+
+Owners edit their sections apart, so sections may contradict each other or be
+halfway through a change that spans two of them. The result depends on the
+sections alone, not on the order in which they came, and fails closed: a name
+with two different definitions belongs to neither section.
+"""
+
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from typing import Final, TypeAlias, TypeVar, final
+
+from chervilstep.content import SectionContent
+from chervilstep.snapshot import (
+    Customer,
+    Route,
+    Service,
+    Snapshot,
+    Upstream,
+    ZoneState,
+)
+
+Definition = TypeVar('Definition')
+#: The definitions of one kind in each section, by section and name.
+Definitions: TypeAlias = Iterable[tuple[str, Mapping[str, Definition]]]
+
+#: The policy of the placeholder for a service that is not defined.
+NO_POLICY: Final = 'random'
+
+
+@final
+class Composition:
+    """A snapshot, and what was left out of it."""
+
+    __slots__ = ('_conflicts', '_snapshot')
+
+    def __init__(self, snapshot: Snapshot, conflicts: Iterable[str]) -> None:
+        """Creates a composition."""
+        self._snapshot = snapshot
+        self._conflicts = tuple(conflicts)
+
+    @property
+    def snapshot(self) -> Snapshot:
+        """What the sections say together."""
+        return self._snapshot
+
+    @property
+    def conflicts(self) -> tuple[str, ...]:
+        """What was left out or closed, a sentence each for operators."""
+        return self._conflicts
+
+
+def compose(contents: Mapping[str, SectionContent]) -> Composition:
+    """Composes the ``contents`` of all accepted sections by their names."""
+    conflicts: list[str] = []
+    sections = sorted(contents.items())
+    zones = _unite(
+        'zone',
+        [(name, content.zones) for name, content in sections],
+        _zone_identity,
+        conflicts,
+    )
+    services = _unite(
+        'service',
+        [(name, content.services) for name, content in sections],
+        _service_identity,
+        conflicts,
+    )
+    customers = _unite(
+        'customer',
+        [(name, content.customers) for name, content in sections],
+        _customer_identity,
+        conflicts,
+    )
+    routes = _unite_routes(
+        [(name, content.routes) for name, content in sections], conflicts
+    )
+    conflicts.extend(_missing_references(routes, services, customers))
+    conflicts.extend(_missing_zones(services.values(), zones))
+    snapshot = Snapshot(
+        zones,
+        _without_shared_upstreams(
+            [*services.values(), *_placeholders(services, routes)], conflicts
+        ),
+        routes,
+        _without_shared_digests(list(customers.values()), conflicts),
+    )
+    return Composition(snapshot, sorted(set(conflicts)))
+
+
+def _unite(
+    kind: str,
+    definitions: Definitions[Definition],
+    identity: Callable[[Definition], object],
+    conflicts: list[str],
+) -> dict[str, Definition]:
+    """Unites definitions; equal ones in two sections count as one.
+
+    Equal definitions let a name move to another section without a gap: it is
+    added there first and then taken out of the old section.
+    """
+    united: dict[str, Definition] = {}
+    owners: dict[str, list[str]] = {}
+    contradicted: set[str] = set()
+    for section, named in definitions:
+        for name, definition in named.items():
+            owners.setdefault(name, []).append(section)
+            known = united.setdefault(name, definition)
+            if identity(known) != identity(definition):
+                contradicted.add(name)
+    for name in contradicted:
+        united.pop(name)
+        sections = ', '.join(owners[name])
+        conflicts.append(
+            f'{kind} {name!r} is out of force: sections {sections}'
+            ' define it differently'
+        )
+    return united
+
+
+def _unite_routes(
+    definitions: Definitions[Route], conflicts: list[str]
+) -> list[Route]:
+    """Unites routes; the paths of contradicted ones are closed.
+
+    Leaving such a path out would let its requests fall through to a route
+    with a shorter prefix, which may be open to all.
+    """
+    united = _unite('route', definitions, _route_identity, conflicts)
+    return [
+        _sole_route(path, claims, united, conflicts)
+        for path, claims in _claims_by_path(definitions).items()
+    ]
+
+
+def _claims_by_path(
+    definitions: Definitions[Route],
+) -> dict[str, dict[str, Route]]:
+    by_path: dict[str, dict[str, Route]] = {}
+    for _, named in definitions:
+        for route in named.values():
+            by_path.setdefault(route.path, {})[route.name] = route
+    return by_path
+
+
+def _sole_route(
+    path: str,
+    claims: Mapping[str, Route],
+    united: Mapping[str, Route],
+    conflicts: list[str],
+) -> Route:
+    names = sorted(claims)
+    first = claims[names[0]]
+    if len(names) > 1:
+        joined = ', '.join(names)
+        conflicts.append(
+            f'path {path!r} is closed: the routes {joined} claim it'
+        )
+        return _closed(first)
+    return united.get(first.name) or _closed(first)
+
+
+def _closed(route: Route) -> Route:
+    return Route(
+        route.name,
+        route.path,
+        route.service,
+        methods=route.methods,
+        idempotent=(),
+        customers=(),
+        is_open=False,
+        priority=route.priority,
+        timeout_seconds=route.timeout_seconds,
+    )
+
+
+def _missing_references(
+    routes: Iterable[Route],
+    services: Mapping[str, Service],
+    customers: Mapping[str, Customer],
+) -> Iterator[str]:
+    for route in routes:
+        if route.service not in services:
+            yield f'route {route.name!r}: service {route.service!r} is missing'
+        for customer in route.customers:
+            if customer not in customers:
+                yield f'route {route.name!r}: customer {customer!r} is missing'
+
+
+def _missing_zones(
+    services: Iterable[Service], zones: Mapping[str, ZoneState]
+) -> Iterator[str]:
+    for service in services:
+        for upstream in service.upstreams:
+            if upstream.zone not in zones:
+                yield (
+                    f'upstream {upstream.name!r}: zone {upstream.zone!r}'
+                    ' is missing'
+                )
+
+
+def _placeholders(
+    services: Mapping[str, Service], routes: Iterable[Route]
+) -> list[Service]:
+    """Returns a service without upstreams for each missing one."""
+    missing = {route.service for route in routes} - set(services)
+    return [Service(name, (), NO_POLICY) for name in sorted(missing)]
+
+
+def _without_shared_upstreams(
+    services: list[Service], conflicts: list[str]
+) -> list[Service]:
+    owners: dict[str, set[str]] = {}
+    for owner in services:
+        for upstream in owner.upstreams:
+            owners.setdefault(upstream.name, set()).add(owner.name)
+    shared = {name for name, users in owners.items() if len(users) > 1}
+    for name in shared:
+        joined = ', '.join(sorted(owners[name]))
+        conflicts.append(
+            f'upstream {name!r} is out of force: services {joined} define it'
+        )
+    return [_keep_upstreams(service, shared) for service in services]
+
+
+def _keep_upstreams(service: Service, shared: set[str]) -> Service:
+    kept = [item for item in service.upstreams if item.name not in shared]
+    return Service(service.name, kept, service.policy)
+
+
+def _without_shared_digests(
+    customers: list[Customer], conflicts: list[str]
+) -> list[Customer]:
+    owners: dict[str, set[str]] = {}
+    for owner in customers:
+        for digest in owner.digests:
+            owners.setdefault(digest, set()).add(owner.name)
+    shared = {key for key, users in owners.items() if len(users) > 1}
+    for claimed in shared:
+        joined = ', '.join(sorted(owners[claimed]))
+        conflicts.append(f'a key of the customers {joined} is out of force')
+    return [_keep_digests(customer, shared) for customer in customers]
+
+
+def _keep_digests(customer: Customer, shared: set[str]) -> Customer:
+    kept = customer.digests - shared
+    return Customer(customer.name, customer.rate, customer.burst, kept)
+
+
+def _zone_identity(zone: ZoneState) -> ZoneState:
+    return zone
+
+
+def _upstream_identity(upstream: Upstream) -> tuple[object, ...]:
+    return (
+        upstream.name,
+        upstream.address,
+        upstream.zone,
+        upstream.slots,
+        upstream.is_leaving,
+    )
+
+
+def _service_identity(service: Service) -> tuple[object, ...]:
+    return service.policy, tuple(map(_upstream_identity, service.upstreams))
+
+
+def _customer_identity(customer: Customer) -> tuple[object, ...]:
+    return customer.rate, customer.burst, customer.digests
+
+
+def _route_identity(route: Route) -> tuple[object, ...]:
+    idempotent = tuple(sorted(filter(route.is_idempotent, route.methods)))
+    access = (route.is_open, route.customers)
+    limits = (route.priority, route.timeout_seconds)
+    methods = (route.methods, idempotent)
+    return route.path, route.service, access, limits, methods
--- /dev/null
+++ b/chervilstep/queries/routing.py
@@ -0,0 +1,47 @@
+"""Finds the route of a request."""
+
+import re
+from typing import Final
+from urllib.parse import unquote
+
+from chervilstep.refusals import (
+    BAD_REQUEST,
+    METHOD_NOT_ALLOWED,
+    NOT_READY,
+    UNKNOWN_ROUTE,
+    Refusal,
+)
+from chervilstep.snapshot import Route, Snapshot
+
+#: Segments by which a path could lead an upstream past its prefix.
+_AMBIGUOUS: Final = re.compile(r'//|/\.{1,2}(?:/|;|$)|\\|\x00')
+
+
+def resolve(snapshot: Snapshot, method: str, path: str) -> Route | Refusal:
+    """Returns the route with the longest prefix of ``path``.
+
+    A method that this route does not take is refused: falling back to a
+    shorter prefix could lead past the keys that the longer one asks for. For
+    the same reason the path is decoded first and must not be ambiguous.
+    """
+    if not snapshot.routes:
+        return NOT_READY
+    decoded = unquote(path) if '%' in path else path
+    if _AMBIGUOUS.search(decoded) or '%2f' in path.lower():
+        return BAD_REQUEST
+    route = _longest_prefix(snapshot, decoded)
+    if route is None:
+        return UNKNOWN_ROUTE
+    if method not in route.methods:
+        return METHOD_NOT_ALLOWED
+    return route
+
+
+def _longest_prefix(snapshot: Snapshot, path: str) -> Route | None:
+    end = path.rfind('/')
+    while end >= 0:
+        route = snapshot.route_by_path(path[: end + 1])
+        if route is not None:
+            return route
+        end = path.rfind('/', 0, end)
+    return None
--- /dev/null
+++ b/chervilstep/queries/tables.py
@@ -0,0 +1,215 @@
+"""Reading of TOML tables that collects every fault with its place."""
+
+import difflib
+import enum
+import ipaddress
+import math
+import re
+import tomllib
+from collections.abc import Iterable, Iterator, Mapping
+from typing import Final, TypeVar, final
+
+Choice = TypeVar('Choice', bound=enum.Enum)
+
+#: Names become metric labels and parts of URLs, so they are kept plain.
+NAME_PATTERN: Final = re.compile('[a-z0-9][a-z0-9._-]{0,63}')
+MAX_PORT: Final = 65535
+
+
+@final
+class Table:
+    """A TOML table under examination.
+
+    The readers return a harmless value when an entry is missing or wrong and
+    note the fault; whoever owns the list of faults raises in the end.
+    """
+
+    __slots__ = ('_entries', '_faults', '_place')
+
+    def __init__(
+        self, entries: Mapping[str, object], place: str, faults: list[str]
+    ) -> None:
+        """Wraps ``entries``, found at the dotted path ``place``."""
+        self._entries = entries
+        self._place = place
+        self._faults = faults
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        """The names of the entries in the order of the file."""
+        return tuple(self._entries)
+
+    def has(self, name: str) -> bool:
+        """Whether there is an entry called ``name``."""
+        return name in self._entries
+
+    def fault(self, name: str, message: str) -> None:
+        """Notes a fault of the entry ``name``."""
+        self._faults.append(f'{self.path(name)}: {message}')
+
+    def path(self, name: str) -> str:
+        """The dotted path of an entry."""
+        return '.'.join(part for part in (self._place, name) if part)
+
+    def allow(self, names: Iterable[str]) -> None:
+        """Notes a fault for each entry that is not one of ``names``."""
+        known = tuple(names)
+        for name in self._entries:
+            if name not in known:
+                self.fault(name, f'unknown name{suggestion(name, known)}')
+
+    def text(self, name: str, default: str | None = None) -> str:
+        """Reads a non-empty string."""
+        found = self._entries.get(name, default)
+        if isinstance(found, str) and found:
+            return found
+        self._complain(name, 'a non-empty string')
+        return ''
+
+    def name(self, name: str) -> str:
+        """Reads a string that is the name of something else."""
+        found = self.text(name)
+        if found and not NAME_PATTERN.fullmatch(found):
+            self.fault(name, f'{found!r} is not a name')
+        return found
+
+    def texts(self, name: str, default: Iterable[str] = ()) -> tuple[str, ...]:
+        """Reads a list of strings without repeated ones."""
+        found = self._entries.get(name, list(default))
+        if not isinstance(found, list) or not all(
+            isinstance(item, str) and item for item in found
+        ):
+            self._complain(name, 'a list of non-empty strings')
+            return ()
+        if len(set(found)) < len(found):
+            self.fault(name, 'an item stands here twice')
+        return tuple(found)
+
+    def flag(self, name: str) -> bool:
+        """Reads a boolean, false by default."""
+        found = self._entries.get(name, False)
+        if not isinstance(found, bool):
+            self._complain(name, 'true or false')
+            return False
+        return found
+
+    def number(
+        self,
+        name: str,
+        low: float,
+        high: float,
+        default: float | None = None,
+    ) -> float:
+        """Reads a finite number from ``low`` to ``high``, both included."""
+        found = self._entries.get(name, default)
+        if (
+            isinstance(found, bool)
+            or not isinstance(found, int | float)
+            or not math.isfinite(found)
+            or not low <= found <= high
+        ):
+            self._complain(name, f'a number from {low:g} to {high:g}')
+            return low
+        return found
+
+    def integer(
+        self, name: str, low: int, high: int, default: int | None = None
+    ) -> int:
+        """Reads a whole number from ``low`` to ``high``, both included."""
+        found = self._entries.get(name, default)
+        if (
+            isinstance(found, bool)
+            or not isinstance(found, int)
+            or not low <= found <= high
+        ):
+            self._complain(name, f'a whole number from {low} to {high}')
+            return low
+        return found
+
+    def choice(self, name: str, default: Choice, label: str = '') -> Choice:
+        """Reads one of the values of an enumeration."""
+        options = {_label_of(option): option for option in type(default)}
+        found = self._entries.get(name, _label_of(default))
+        if isinstance(found, str) and found in options:
+            return options[found]
+        known = ', '.join(options)
+        hint = suggestion(str(found), options)
+        self.fault(name, f'{found!r} is not one of {known}{hint}')
+        return default
+
+    def address(self, name: str) -> str:
+        """Reads an ``ip:port`` address."""
+        found = self.text(name)
+        if found and not is_address(found):
+            self.fault(name, f'{found!r} is not an ip:port address')
+        return found
+
+    def tables(self) -> Iterator[tuple[str, 'Table']]:
+        """Walks over the entries, each of which must be a named table."""
+        for name, entries in self._entries.items():
+            if not NAME_PATTERN.fullmatch(name):
+                self.fault(name, f'{name!r} is not a name')
+            elif isinstance(entries, dict):
+                yield name, Table(entries, self.path(name), self._faults)
+            else:
+                self.fault(name, 'must be a table')
+
+    def table(self, name: str) -> 'Table':
+        """Reads a table."""
+        entries = self._entries.get(name, {})
+        if not isinstance(entries, dict):
+            self.fault(name, 'must be a table')
+            entries = {}
+        return Table(entries, self.path(name), self._faults)
+
+    def array(self, name: str) -> tuple['Table', ...]:
+        """Reads an array of tables."""
+        items = self._entries.get(name, [])
+        if not isinstance(items, list) or not all(
+            isinstance(entries, dict) for entries in items
+        ):
+            self.fault(name, 'must be an array of tables')
+            return ()
+        return tuple(
+            Table(entries, self.path(f'{name}[{index}]'), self._faults)
+            for index, entries in enumerate(items)
+        )
+
+    def _complain(self, name: str, expected: str) -> None:
+        if name in self._entries:
+            self.fault(name, f'must be {expected}')
+        else:
+            self.fault(name, f'is missing; it must be {expected}')
+
+
+def parse_toml(text: str, faults: list[str]) -> Mapping[str, object]:
+    """Parses TOML; a syntax error becomes a fault with its line."""
+    try:
+        return tomllib.loads(text)
+    except (tomllib.TOMLDecodeError, RecursionError) as error:
+        faults.append(f'syntax: {error}')
+        return {}
+
+
+def suggestion(name: str, known: Iterable[str]) -> str:
+    """Returns a hint at the known name that is closest to ``name``."""
+    close = difflib.get_close_matches(name, tuple(known), n=1)
+    return f'; did you mean {close[0]!r}?' if close else ''
+
+
+def is_address(text: str) -> bool:
+    """Whether ``text`` is an IP number and a port, joined by a colon."""
+    host, _, port = text.rpartition(':')
+    if not (port.isascii() and port.isdigit() and int(port) <= MAX_PORT):
+        return False
+    try:
+        ipaddress.ip_address(host.removeprefix('[').removesuffix(']'))
+    except ValueError:
+        return False
+    return True
+
+
+def _label_of(option: enum.Enum) -> str:
+    if isinstance(option, enum.IntEnum):
+        return option.name.lower()
+    return str(option.value)
--- a/chervilstep/snapshot.py
+++ b/chervilstep/snapshot.py
@@ -245,6 +245,7 @@
 
     __slots__ = (
         '_by_digest',
+        '_by_path',
         '_customers',
         '_routes',
         '_services',
@@ -264,6 +265,7 @@
         self._routes = tuple(
             sorted(routes, key=lambda route: (-len(route.path), route.name))
         )
+        self._by_path = {route.path: route for route in self._routes}
         self._customers = {customer.name: customer for customer in customers}
         self._by_digest = {
             digest: customer
@@ -295,6 +297,10 @@
         """Whether ``zone`` takes no new work; an unknown zone takes none."""
         return self._zones.get(zone) is not ZoneState.IN_SERVICE
 
+    def route_by_path(self, prefix: str) -> Route | None:
+        """The route whose path is exactly ``prefix``."""
+        return self._by_path.get(prefix)
+
     def customer_by_digest(self, digest: str) -> Customer | None:
         """The customer that holds the key of this digest."""
         return self._by_digest.get(digest)
--- /dev/null
+++ b/tests/document_builders.py
@@ -0,0 +1,73 @@
+"""Builders of sections of the operators' document."""
+
+from chervilstep.commands.configuration import offer_sections
+from chervilstep.node import new_node
+from chervilstep.queries.document import parse_section
+from tests.builders import KEY, a_settings, digest_of
+
+ZONES = '[zones]\nakl = "in-service"\nham = "in-service"\n'
+
+
+def zones_text(**states):
+    lines = [f'{name} = "{state}"' for name, state in states.items()]
+    return '\n'.join(['[zones]', *lines])
+
+
+def service_text(name='strike', port=9001, zone='akl', prefix=''):
+    upstream = prefix or name
+    return f"""
+[services.{name}]
+slots = 3
+[[services.{name}.upstreams]]
+name = "{upstream}-1"
+address = "127.0.0.1:{port}"
+zone = "{zone}"
+"""
+
+
+def route_text(name='strike', path=None, access='customers = ["fletcher"]'):
+    return f"""
+[routes.{name}]
+path = "{path or f'/{name}/'}"
+service = "{name}"
+methods = ["GET", "POST"]
+timeout_ms = 2000
+{access}
+"""
+
+
+def customer_text(name='fletcher', rate=100, keys=(KEY,)):
+    digests = ', '.join(f'"{digest_of(key)}"' for key in keys)
+    return f"""
+[customers.{name}]
+rate = {rate}
+burst = 20
+keys = [{digests}]
+"""
+
+
+def sections(**changes):
+    texts = {
+        'zones': ZONES,
+        'services': service_text(),
+        'routes': route_text(),
+        'customers': customer_text(),
+    }
+    texts.update(changes)
+    return texts
+
+
+def contents(**changes):
+    return {
+        name: parse_section(text) for name, text in sections(**changes).items()
+    }
+
+
+def a_configured_node(name='entry-1', revision=1, **changes):
+    node = new_node(a_settings(name), 1)
+    offers = [
+        (section, revision, text)
+        for section, text in sections(**changes).items()
+    ]
+    offer_sections(node, offers, 0)
+    return node
--- /dev/null
+++ b/tests/test_document.py
@@ -0,0 +1,106 @@
+"""Tests of the parsing of sections."""
+
+import pathlib
+
+import pytest
+
+from chervilstep.exceptions import SectionError
+from chervilstep.queries.composition import compose
+from chervilstep.queries.document import parse_section
+from chervilstep.snapshot import Priority
+from tests.document_builders import (
+    customer_text,
+    route_text,
+    sections,
+    service_text,
+)
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
+
+
+def faults_of(text):
+    with pytest.raises(SectionError) as caught:
+        parse_section(text)
+    return str(caught.value).splitlines()
+
+
+def test_whole_document():
+    content = parse_section('\n'.join(sections().values()))
+    route = content.routes['strike']
+    assert route.priority is Priority.NORMAL
+    assert route.timeout_seconds == 2
+    assert route.is_idempotent('GET')
+    assert not route.is_idempotent('POST')
+    assert content.services['strike'].upstreams[0].slots == 3
+    assert content.customers['fletcher'].rate == 100
+
+
+@pytest.mark.parametrize(
+    ('text', 'fault'),
+    [
+        ('[zones\n', 'syntax: .*line 1'),
+        ('[route.x]\n', "route: unknown name; did you mean 'routes'?"),
+        ('[zones]\nakl = "widthdrawn"', "zones.akl: .*mean 'withdrawn'"),
+        (
+            route_text() + 'prioritty = "bulk"',
+            "routes.strike.prioritty: unknown name; did you mean 'priority'",
+        ),
+        (route_text(path='strike'), 'routes.strike.path: .*slash'),
+        (route_text(path='/a/../'), 'routes.strike.path: .*relative'),
+        (route_text(access='open = 1'), 'routes.strike.open: must be true'),
+        (route_text(access=''), 'routes.strike.customers: a route names'),
+        (
+            route_text(access='open = true\ncustomers = ["x"]'),
+            'routes.strike.open: .*not both',
+        ),
+        (route_text() + route_text('b', '/strike/'), 'routes.b.path: .*same'),
+        (customer_text(rate='nan'), 'customers.fletcher.rate: must be'),
+        (customer_text(rate='true'), 'customers.fletcher.rate: must be'),
+        (
+            customer_text() + customer_text('hiway'),
+            "customers.hiway.keys: a key of 'fletcher'",
+        ),
+        (
+            service_text() + service_text('intake'),
+            'services.intake.upstreams.0.: a second use',
+        ),
+        (service_text(zone='A K L'), 'services.strike.upstreams.0..zone: .*'),
+        (service_text(port=70000), 'services.strike.upstreams.0..address: .*'),
+        ('[services]\nstrike = 1', 'services.strike: must be a table'),
+        ('services = 1', 'services: must be a table'),
+        ('[services.x]\nupstreams = [1]\nslots = 1', 'services.x.upstreams: '),
+    ],
+)
+def test_fault_names_its_place(text, fault):
+    with pytest.raises(SectionError, match=fault):
+        parse_section(text)
+
+
+def test_every_fault_is_listed():
+    faults = faults_of(route_text(path='x') + '[customers.a]\nrat = 1')
+    places = [fault.partition(':')[0] for fault in faults]
+    assert places == [
+        'customers.a.rat',
+        'customers.a.rate',
+        'customers.a.burst',
+        'routes.strike.path',
+    ]
+
+
+def test_wrong_digest_is_not_repeated():
+    text = '[customers.a]\nrate = 1\nburst = 1\nkeys = ["a-secret-key"]'
+    assert 'a-secret-key' not in '\n'.join(faults_of(text))
+
+
+@pytest.mark.parametrize('deployment', ['nz', 'sk'])
+def test_examples_are_sound(deployment):
+    contents = {
+        path.stem: parse_section(path.read_text())
+        for path in (EXAMPLES / deployment).glob('*.toml')
+    }
+    composition = compose(contents)
+    snapshot = composition.snapshot
+    assert composition.conflicts == ()
+    assert len(snapshot.zones) == 4
+    assert len(snapshot.services) == 4
+    assert len(snapshot.customers) == 8
