Read the platform and files, relay sections between peers, confirm by hold

Cause: an instance needs the document from a file or the platform, must not bring back old sections, and must refuse keys when it may have missed a revocation.

Change: sources by URL scheme; a few instances by rank watch the platform, the others ask an instance of a lower rank and fetch only what is newer; a confirmation counts from the instant at which it was asked for and ends after a hold; a majority with equal sections confirms while the platform is down.

Ruled out: a direct watch by every instance (its rate grows with the fleet); pushing whole sections; times of the sender in messages.

--- a/chervilstep/commands/configuration.py
+++ b/chervilstep/commands/configuration.py
@@ -8,9 +8,11 @@
 from chervilstep.node import Node
 from chervilstep.queries.composition import compose
 from chervilstep.queries.document import parse_section
+from chervilstep.queries.relaying import notice_recipients
 from chervilstep.queries.revisions import fingerprint_of, is_newer
 from chervilstep.queries.tables import NAME_PATTERN
-from chervilstep.types import Deadline, Instant
+from chervilstep.sync_messages import PAGE_ENTRIES, RevisionsNotice
+from chervilstep.types import Instant
 
 #: A section's name, its revision and its text, or None for a deletion.
 Offer: TypeAlias = tuple[str, int, str | None]
@@ -32,20 +34,30 @@
 
     A text of None deletes the section. A refused text leaves the last
     accepted one in force. Revisions never go back, whoever offers them.
+    Some peers are told of what was accepted.
     """
-    before = node.counters.total(ACCEPTED)
+    accepted = []
     for name, revision, text in offers:
-        if is_newer(node.configuration, name, revision):
-            _judge(node, name, revision, text)
-        else:
+        if not is_newer(node.configuration, name, revision):
             node.counters.add(OUTDATED)
-    if node.counters.total(ACCEPTED) > before:
+            continue
+        _judge(node, name, revision, text)
+        section = node.configuration.sections.get(name)
+        if section is not None and section.revision == revision:
+            accepted.append((name, revision))
+    if accepted:
         _publish(node.configuration)
+        _notify(node, accepted, now)
 
 
-def confirm(node: Node, until: Deadline) -> None:
-    """Extends the time for which the configuration counts as current."""
-    node.configuration.confirm(until)
+def _notify(node: Node, accepted: list[tuple[str, int]], now: Instant) -> None:
+    newest = sorted(accepted, key=_revision_of, reverse=True)[:PAGE_ENTRIES]
+    for peer in notice_recipients(node, now):
+        node.outbox.put(peer, RevisionsNotice(tuple(newest)))
+
+
+def _revision_of(entry: tuple[str, int]) -> int:
+    return entry[1]
 
 
 def _new_section(name: str, revision: int, text: str | None) -> Section:
--- a/chervilstep/configuration.py
+++ b/chervilstep/configuration.py
@@ -84,6 +84,7 @@
         '_faults',
         '_fingerprint',
         '_sections',
+        '_seen_revision',
         '_snapshot',
     )
 
@@ -95,6 +96,7 @@
         self._conflicts: tuple[str, ...] = ()
         self._confirmed_until: Deadline | None = None
         self._fingerprint = b''
+        self._seen_revision = 0
 
     @property
     def sections(self) -> Mapping[str, Section]:
@@ -126,6 +128,18 @@
         """A digest of the accepted revisions; empty without sections."""
         return self._fingerprint
 
+    @property
+    def seen_revision(self) -> int:
+        """The platform's highest revision that anyone is known to have read.
+
+        A replica that answers with a lower one lags.
+        """
+        return self._seen_revision
+
+    def see(self, revision: int) -> None:
+        """Notes a revision that the platform has reached."""
+        self._seen_revision = max(self._seen_revision, revision)
+
     def accept(self, section: Section) -> None:
         """Takes in a section; the caller has checked it."""
         self._sections[section.name] = section
--- a/chervilstep/node.py
+++ b/chervilstep/node.py
@@ -8,6 +8,7 @@
 from chervilstep.counters import Counters
 from chervilstep.members import Members
 from chervilstep.messages import Outbox
+from chervilstep.relay import Relay
 from chervilstep.settings import Settings
 from chervilstep.snapshot import Snapshot
 
@@ -26,6 +27,7 @@
         '_counters',
         '_members',
         '_outbox',
+        '_relay',
         '_rng',
         '_settings',
     )
@@ -39,6 +41,7 @@
         self._board = Board()
         self._counters = Counters()
         self._outbox = Outbox()
+        self._relay = Relay()
 
     @property
     def settings(self) -> Settings:
@@ -80,6 +83,11 @@
         """Messages for peers that were not sent yet."""
         return self._outbox
 
+    @property
+    def relay(self) -> Relay:
+        """What passes the configuration on between peers."""
+        return self._relay
+
 
 def new_node(settings: Settings, seed: int | None = None) -> Node:
     """Creates the state of an instance; ``seed`` fixes its random numbers."""
