--- /dev/null
+++ b/chervilstep/adapters/admin.py
@@ -0,0 +1,65 @@
+"""The HTTP endpoint for operators: health, status and metrics."""
+
+import json
+from collections.abc import Callable
+from typing import final
+
+from tornado import web
+
+from chervilstep.hooks import STATUS_PARTS
+from chervilstep.node import Node
+from chervilstep.types import Instant
+
+
+@final
+class StatusHandler(web.RequestHandler):
+    """Answers the whole status as JSON."""
+
+    __slots__ = ('_clock', '_node')
+
+    def initialize(self, node: Node, clock: Callable[[], Instant]) -> None:
+        """Takes the node to describe."""
+        self._node = node
+        self._clock = clock
+
+    def get(self) -> None:
+        """Writes every part of the status by its name."""
+        now = self._clock()
+        self.set_header('Content-Type', 'application/json')
+        self.write(
+            json.dumps(
+                {
+                    name: STATUS_PARTS.find(name)(self._node, now)
+                    for name in STATUS_PARTS.names
+                }
+            )
+        )
+
+
+@final
+class HealthHandler(web.RequestHandler):
+    """Answers whether this instance serves."""
+
+    __slots__ = ('_node',)
+
+    def initialize(self, node: Node) -> None:
+        """Takes the node to describe."""
+        self._node = node
+
+    def get(self) -> None:
+        """Writes 200 once there is a configuration, 503 before."""
+        is_ready = bool(self._node.configuration.sections)
+        is_ready = is_ready and not self._node.members.is_leaving
+        self.set_status(200 if is_ready else 503)
+        self.write('ready\n' if is_ready else 'not ready\n')
+
+
+def new_admin(node: Node, clock: Callable[[], Instant]) -> web.Application:
+    """Creates the operators' endpoint of a node."""
+    return web.Application(
+        [
+            ('/health', HealthHandler, {'node': node}),
+            ('/status', StatusHandler, {'node': node, 'clock': clock}),
+        ],
+        log_function=lambda handler: None,
+    )
--- /dev/null
+++ b/chervilstep/adapters/entry.py
@@ -0,0 +1,287 @@
+"""The HTTP front end for callers."""
+
+import asyncio
+import hashlib
+import json
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+from typing import Final, cast, final
+from urllib.parse import parse_qs
+
+from tornado import http1connection, httputil, iostream
+
+from chervilstep.calls import Answer, Call, Reply
+from chervilstep.node import Node
+from chervilstep.queries import headers as header_rules
+from chervilstep.queries.locator import directions
+from chervilstep.refusals import (
+    BODY_TOO_LARGE,
+    HEADERS_TOO_LARGE,
+    INTERNAL_ERROR,
+    KEY_IN_QUERY,
+    Refusal,
+)
+from chervilstep.types import Deadline, Instant, new_deadline
+
+#: Where callers ask which entry instances to use.
+LOCATOR_PATH: Final = '/chervilstep/addresses'
+MS_PER_SECOND: Final = 1000
+
+_JSON: Final = ('Content-Type', 'application/json')
+
+
+@final
+class EntryFront(httputil.HTTPServerConnectionDelegate):
+    """Turns HTTP requests into calls, and replies into HTTP answers."""
+
+    __slots__ = ('_clock', '_handle', '_node', '_tasks')
+
+    def __init__(
+        self,
+        node: Node,
+        handle: Callable[[Call], Awaitable[Reply]],
+        clock: Callable[[], Instant],
+    ) -> None:
+        """Creates a front end that passes each call to ``handle``."""
+        self._node = node
+        self._handle = handle
+        self._clock = clock
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def in_flight(self) -> int:
+        """How many requests are being answered."""
+        return len(self._tasks)
+
+    @property
+    def node(self) -> Node:
+        """The state that the front end serves."""
+        return self._node
+
+    def start_request(
+        self,
+        server_conn: object,
+        request_conn: httputil.HTTPConnection,
+    ) -> httputil.HTTPMessageDelegate:
+        """Starts to read one request."""
+        return RequestReader(self, request_conn)
+
+    def begin(self, reader: 'RequestReader', call: Call) -> asyncio.Task[None]:
+        """Starts to answer one whole request."""
+        task = asyncio.get_running_loop().create_task(
+            self._answer(reader, call)
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def deadline_in(self, milliseconds: int) -> Deadline:
+        """The deadline that lies ``milliseconds`` ahead."""
+        return new_deadline(self._clock(), milliseconds / MS_PER_SECOND)
+
+    def locate(self, reader: 'RequestReader', query: str) -> None:
+        """Answers which entry instances to use."""
+        zone = parse_qs(query).get('zone')
+        found = directions(self._node, self._clock(), zone[0] if zone else None)
+        self._node.counters.add('locator_answers')
+        reader.write(
+            Answer(
+                200,
+                'OK',
+                (_JSON, ('Cache-Control', 'no-store')),
+                json.dumps(
+                    {
+                        'addresses': found.addresses,
+                        'keep_ms': int(found.keep_seconds * MS_PER_SECOND),
+                    }
+                ).encode(),
+            )
+        )
+
+    async def _answer(self, reader: 'RequestReader', call: Call) -> None:
+        try:
+            reply = await self._handle(call)
+        except Exception:
+            # Whatever went wrong, the caller gets a verdict.
+            self._node.counters.add('internal_errors')
+            reader.write(refusal_answer(INTERNAL_ERROR))
+            raise
+        reader.write(
+            refusal_answer(reply) if isinstance(reply, Refusal) else reply
+        )
+
+
+@final
+class RequestReader(httputil.HTTPMessageDelegate):
+    """Reads one request and writes its answer."""
+
+    __slots__ = (
+        '_chunks',
+        '_connection',
+        '_front',
+        '_headers',
+        '_is_answered',
+        '_size',
+        '_start_line',
+        '_task',
+    )
+
+    def __init__(
+        self, front: EntryFront, connection: httputil.HTTPConnection
+    ) -> None:
+        """Starts before the first byte of the request."""
+        self._front = front
+        self._connection = cast(http1connection.HTTP1Connection, connection)
+        self._chunks: list[bytes] = []
+        self._size = 0
+        self._is_answered = False
+        self._task: asyncio.Task[None] | None = None
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> None:
+        """Takes the head and refuses what is too large already."""
+        if isinstance(start_line, httputil.RequestStartLine):
+            self._start_line = start_line
+        self._headers = headers
+        limit = self._front.node.settings.header_limit_bytes
+        if sum(len(name) + len(text) for name, text in headers.get_all()) > (
+            limit
+        ):
+            self._refuse(HEADERS_TOO_LARGE)
+        elif self._stated_length() > self._body_limit():
+            self._refuse(BODY_TOO_LARGE)
+
+    def data_received(self, chunk: bytes) -> None:
+        """Takes a part of the body."""
+        self._size += len(chunk)
+        if self._is_answered:
+            return
+        if self._size > self._body_limit():
+            self._refuse(BODY_TOO_LARGE)
+            return
+        self._chunks.append(chunk)
+
+    def finish(self) -> None:
+        """Starts to answer, once the request is whole."""
+        if self._is_answered:
+            return
+        path, _, query = self._start_line.path.partition('?')
+        if path == LOCATOR_PATH:
+            self._front.locate(self, query)
+        elif header_rules.has_key_in_query(self._start_line.path):
+            self._refuse(KEY_IN_QUERY)
+        else:
+            self._task = self._front.begin(self, self._call())
+            self._connection.set_close_callback(self.on_connection_close)
+
+    def on_connection_close(self) -> None:
+        """Cancels the work when the caller has gone."""
+        self._is_answered = True
+        if self._task is not None:
+            self._task.cancel()
+
+    def write(self, answer: Answer) -> None:
+        """Writes the whole answer, unless the caller has gone."""
+        if self._is_answered:
+            return
+        self._is_answered = True
+        headers = httputil.HTTPHeaders()
+        for name, text in answer.headers:
+            headers.add(name, text)
+        if _has_body(answer, self._start_line.method):
+            headers['Content-Length'] = str(len(answer.body))
+        try:
+            written = self._connection.write_headers(
+                httputil.ResponseStartLine(
+                    'HTTP/1.1', answer.status, answer.reason
+                ),
+                headers,
+                answer.body or None,
+            )
+        except iostream.StreamClosedError:
+            return
+        written.add_done_callback(_ignore_failure)
+        self._connection.finish()
+
+    def _refuse(self, refusal: Refusal) -> None:
+        self._front.node.counters.add('refusals', reason=refusal.reason)
+        self.write(refusal_answer(refusal))
+
+    def _call(self) -> Call:
+        headers = self._headers
+        key = header_rules.key_of(headers.get(header_rules.KEY_HEADER))
+        milliseconds = header_rules.milliseconds_of(
+            headers.get(header_rules.DEADLINE_HEADER)
+        )
+        return Call(
+            self._start_line.method,
+            self._start_line.path,
+            header_rules.request_headers(headers.get_all()),
+            b''.join(self._chunks),
+            key_digest=digest_of(key) if key else None,
+            deadline=(
+                None
+                if milliseconds is None
+                else self._front.deadline_in(milliseconds)
+            ),
+            attempt=header_rules.milliseconds_of(
+                headers.get(header_rules.ATTEMPT_HEADER)
+            )
+            or 1,
+        )
+
+    def _stated_length(self) -> int:
+        length = self._headers.get('Content-Length', '')
+        return int(length) if length.isdigit() else 0
+
+    def _body_limit(self) -> int:
+        return self._front.node.settings.body_limit_bytes
+
+
+def refusal_answer(refusal: Refusal) -> Answer:
+    """The HTTP answer that tells a caller of a refusal."""
+    verdict = refusal.verdict.value
+    body = json.dumps(
+        {
+            'reason': refusal.reason,
+            'verdict': verdict,
+            'message': refusal.message,
+        }
+    )
+    return Answer(
+        refusal.status,
+        HTTPStatus(refusal.status).phrase,
+        (
+            _JSON,
+            (header_rules.VERDICT_HEADER, verdict),
+            (header_rules.REASON_HEADER, refusal.reason),
+        ),
+        body.encode(),
+    )
+
+
+def digest_of(key: str) -> str:
+    """The digest of a key as the document lists it."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def _has_body(answer: Answer, method: str) -> bool:
+    return method != 'HEAD' and answer.status not in {204, 304}
+
+
+def _ignore_failure(future: 'asyncio.Future[None]') -> None:
+    """Reads the failure of a write; the caller has gone."""
+    if not future.cancelled():
+        future.exception()
+
+
+def new_entry_front(
+    node: Node,
+    handle: Callable[[Call], Awaitable[Reply]],
+    clock: Callable[[], Instant],
+) -> EntryFront:
+    """Creates the front end of a node."""
+    return EntryFront(node, handle, clock)
--- /dev/null
+++ b/chervilstep/adapters/peers.py
@@ -0,0 +1,212 @@
+"""Streams of typed messages to the other entry instances."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final, final
+
+import structlog
+from tornado import iostream, tcpserver
+
+from chervilstep.adapters import codec, handshake
+from chervilstep.adapters.streams import connect
+from chervilstep.commands.membership import ALIVE_SECONDS, lose_peer
+from chervilstep.exceptions import PeerError
+from chervilstep.hooks import HANDLERS
+from chervilstep.messages import EVERY_PEER, Letter
+from chervilstep.node import Node
+from chervilstep.queries.overlay import dials, neighbours
+from chervilstep.types import Instant
+
+#: The longest time for connecting and for the handshake.
+HANDSHAKE_SECONDS: Final = 1
+#: How often the wanted streams are compared with the open ones.
+RECONCILE_SECONDS: Final = 0.25
+#: The first and the longest pause before a peer is dialled again.
+MIN_BACK_OFF_SECONDS: Final = 0.1
+MAX_BACK_OFF_SECONDS: Final = 2
+
+_log = structlog.get_logger()
+
+
+@final
+class PeerStreams(tcpserver.TCPServer):
+    """Keeps one authenticated stream to each neighbour.
+
+    Of two instances the one with the smaller name dials. A stream on which
+    nothing arrives for as long as a heartbeat vouches is closed, since a
+    silent stream may never come back.
+    """
+
+    # The base class has a dictionary; these names are still declared.
+    __slots__ = ('_clock', '_dialling', '_node', '_scheduled', '_streams')
+
+    def __init__(self, node: Node, clock: Callable[[], Instant]) -> None:
+        """Creates the streams of a node; none is open yet."""
+        super().__init__()
+        self._node = node
+        self._clock = clock
+        self._streams: dict[str, iostream.IOStream] = {}
+        self._dialling: dict[str, asyncio.Task[None]] = {}
+        self._scheduled = False
+        node.outbox.subscribe(self.schedule_flush)
+
+    @property
+    def connected(self) -> tuple[str, ...]:
+        """The names of the peers with an open stream."""
+        return tuple(self._streams)
+
+    async def run(self) -> None:
+        """Dials wanted neighbours until cancelled."""
+        while True:
+            self._reconcile()
+            await asyncio.sleep(RECONCILE_SECONDS)
+
+    def close(self) -> None:
+        """Ends every stream and dials no more."""
+        self.stop()
+        for task in self._dialling.values():
+            task.cancel()
+        for stream in tuple(self._streams.values()):
+            stream.close()
+
+    def schedule_flush(self) -> None:
+        """Sends the outbox once the running command has ended."""
+        if not self._scheduled:
+            self._scheduled = True
+            asyncio.get_running_loop().call_soon(self.flush)
+
+    def flush(self) -> None:
+        """Sends every message in the outbox to whoever is connected."""
+        self._scheduled = False
+        letters = self._node.outbox.letters
+        self._node.outbox.clear()
+        for letter in letters:
+            self._deliver(letter)
+
+    async def handle_stream(
+        self, stream: iostream.IOStream, address: object
+    ) -> None:
+        """Welcomes a peer that dialled, and reads what it sends."""
+        stream.set_nodelay(True)
+        settings = self._node.settings
+        try:
+            async with asyncio.timeout(HANDSHAKE_SECONDS):
+                name = await handshake.welcome(
+                    stream, settings.peer_secret, settings.name
+                )
+        except (PeerError, TimeoutError, iostream.StreamClosedError):
+            self._node.counters.add('peer_handshakes_refused')
+            stream.close()
+            return
+        await self._converse(name, stream)
+
+    def _reconcile(self) -> None:
+        wanted = neighbours(self._node.members)
+        own_name = self._node.settings.name
+        for name in wanted:
+            if dials(own_name, name) and name not in self._dialling:
+                self._dialling[name] = asyncio.create_task(self._dial(name))
+        for name in set(self._dialling) - wanted:
+            self._dialling.pop(name).cancel()
+
+    async def _dial(self, name: str) -> None:
+        """Keeps a stream to ``name`` until cancelled."""
+        pause = MIN_BACK_OFF_SECONDS
+        while True:
+            if await self._dial_once(name):
+                pause = MIN_BACK_OFF_SECONDS
+            jitter = self._node.rng.uniform(0, pause)
+            await asyncio.sleep(pause + jitter)
+            pause = min(2 * pause, MAX_BACK_OFF_SECONDS)
+
+    async def _dial_once(self, name: str) -> bool:
+        """Dials and converses; False when no stream came about."""
+        instance = self._node.members.listed.get(name)
+        if instance is None:
+            return False
+        stream: iostream.IOStream | None = None
+        settings = self._node.settings
+        try:
+            async with asyncio.timeout(HANDSHAKE_SECONDS):
+                stream = await connect(instance.peer_address)
+                await handshake.greet(
+                    stream, settings.peer_secret, settings.name, name
+                )
+        except (
+            PeerError,
+            OSError,
+            iostream.StreamClosedError,
+        ):
+            if stream is not None:
+                stream.close()
+            return False
+        await self._converse(name, stream)
+        return True
+
+    async def _converse(self, name: str, stream: iostream.IOStream) -> None:
+        """Handles what ``name`` sends until the stream ends."""
+        former = self._streams.get(name)
+        if former is not None:
+            former.close()
+        self._streams[name] = stream
+        self._node.counters.add('peer_streams_opened')
+        _log.info('peer_connected', peer=name)
+        try:
+            await self._read_all(name, stream)
+        except (iostream.StreamClosedError, TimeoutError):
+            self._node.counters.add('peer_streams_lost')
+        except PeerError as fault:
+            self._node.counters.add('peer_faults')
+            _log.warning('peer_fault', peer=name, fault=str(fault))
+        finally:
+            self._forget(name, stream)
+
+    async def _read_all(self, name: str, stream: iostream.IOStream) -> None:
+        while True:
+            async with asyncio.timeout(ALIVE_SECONDS):
+                frame = await codec.read_frame(stream)
+            message = codec.decode(frame)
+            self._node.counters.add('peer_messages_received')
+            take = HANDLERS.find(message.kind)
+            take(self._node, name, message, self._clock())
+
+    def _forget(self, name: str, stream: iostream.IOStream) -> None:
+        stream.close()
+        if self._streams.get(name) is stream:
+            self._streams.pop(name)
+            lose_peer(self._node, name)
+            _log.info('peer_lost', peer=name)
+
+    def _deliver(self, letter: Letter) -> None:
+        frame = codec.encode(letter.message)
+        if letter.recipient == EVERY_PEER:
+            recipients = tuple(self._streams)
+        else:
+            recipients = (letter.recipient,)
+        for name in recipients:
+            self._send(name, frame)
+
+    def _send(self, name: str, frame: bytes) -> None:
+        stream = self._streams.get(name)
+        if stream is None or stream.closed():
+            self._node.counters.add('peer_messages_unsent')
+            return
+        self._node.counters.add('peer_messages_sent')
+        self._node.counters.add('peer_bytes_sent', len(frame))
+        try:
+            written = stream.write(frame)
+        except (iostream.StreamClosedError, iostream.StreamBufferFullError):
+            stream.close()
+            return
+        written.add_done_callback(_ignore_failure)
+
+
+def _ignore_failure(future: 'asyncio.Future[None]') -> None:
+    """Reads the failure of a write; the reader notices the lost stream."""
+    if not future.cancelled():
+        future.exception()
+
+
+def new_peer_streams(node: Node, clock: Callable[[], Instant]) -> PeerStreams:
+    """Creates the streams of a node."""
+    return PeerStreams(node, clock)
--- a/chervilstep/calls.py
+++ b/chervilstep/calls.py
@@ -17,6 +17,7 @@
     """A caller's request, decoded and without its key."""
 
     __slots__ = (
+        '_attempt',
         '_body',
         '_deadline',
         '_headers',
@@ -35,8 +36,10 @@
         *,
         key_digest: str | None,
         deadline: Deadline | None,
+        attempt: int = 1,
     ) -> None:
         """Creates a call; ``target`` is the path with the query string."""
+        self._attempt = attempt
         self._method = method
         self._target = target
         self._path = target.partition('?')[0]
@@ -75,6 +78,11 @@
         """The SHA-256 digest of the key in hexadecimal, or None."""
         return self._key_digest
 
+    @property
+    def attempt(self) -> int:
+        """Which attempt of its request the caller says that this is."""
+        return self._attempt
+
     @property
     def deadline(self) -> Deadline | None:
         """The caller's deadline, when it named one."""
--- /dev/null
+++ b/chervilstep/cmdline.py
@@ -0,0 +1,25 @@
+"""The command line."""
+
+import importlib
+import pkgutil
+import sys
+
+import defopt
+
+from chervilstep import cli
+from chervilstep.cli.registry import SUBCOMMANDS
+from chervilstep.version import __version__
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Runs the subcommand that the arguments name; returns its exit code."""
+    for module in pkgutil.iter_modules(cli.__path__):
+        importlib.import_module(f'{cli.__name__}.{module.name}')
+    subcommands = {name: SUBCOMMANDS.find(name) for name in SUBCOMMANDS.names}
+    return int(
+        defopt.run(
+            subcommands,
+            argv=sys.argv[1:] if arguments is None else arguments,
+            version=__version__,
+        )
+    )
--- /dev/null
+++ b/chervilstep/commands/membership.py
@@ -0,0 +1,83 @@
+"""Heartbeats between instances, and the platform's list of them."""
+
+from collections.abc import Iterable
+from typing import Final, final
+
+from chervilstep.hooks import FAREWELLS, HANDLERS, MESSAGES, every
+from chervilstep.members import Instance
+from chervilstep.messages import EVERY_PEER, Message
+from chervilstep.node import Node
+from chervilstep.queries.load import own_load
+from chervilstep.types import Instant, new_deadline
+
+#: The time between two heartbeats.
+HEARTBEAT_SECONDS: Final = 0.5
+#: How long a heartbeat vouches for its sender.
+ALIVE_SECONDS: Final = 2
+
+
+@MESSAGES.register('heartbeat')
+@final
+class Heartbeat(Message):
+    """Tells peers that the sender is alive, how loaded, and if leaving."""
+
+    __slots__ = ('_is_leaving', '_load')
+
+    kind = 'heartbeat'
+    fields = ('load', 'is_leaving')
+
+    def __init__(self, load: float, is_leaving: bool) -> None:  # noqa: FBT001
+        """Creates a heartbeat; ``load`` is a fraction of the capacity."""
+        self._load = load
+        self._is_leaving = is_leaving
+
+    @property
+    def load(self) -> float:
+        """The fraction of its own capacity that the sender uses."""
+        return self._load
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the sender is stopping."""
+        return self._is_leaving
+
+
+@every(HEARTBEAT_SECONDS, 'heartbeat')
+def send_heartbeat(node: Node, now: Instant) -> None:
+    """Tells every peer that this instance is alive."""
+    node.outbox.put(
+        EVERY_PEER,
+        Heartbeat(own_load(node, now), node.members.is_leaving),
+    )
+
+
+@HANDLERS.register('heartbeat')
+def take_heartbeat(
+    node: Node, sender: str, message: Message, now: Instant
+) -> None:
+    """Notes that ``sender`` is alive for a while."""
+    if isinstance(message, Heartbeat):
+        node.members.view(sender).hear(
+            new_deadline(now, ALIVE_SECONDS),
+            is_leaving=message.is_leaving,
+            load=message.load,
+        )
+
+
+def lose_peer(node: Node, name: str) -> None:
+    """Notes that the stream to ``name`` broke."""
+    node.members.view(name).lose()
+
+
+def replace_list(
+    node: Node, revision: int, instances: Iterable[Instance]
+) -> None:
+    """Takes the platform's list; an older revision is ignored."""
+    node.members.replace(revision, instances)
+
+
+@FAREWELLS.register(rank=0)
+def announce_leaving(node: Node, now: Instant) -> None:
+    """Marks this instance as leaving and tells the peers at once."""
+    node.members.leave()
+    send_heartbeat(node, now)
--- a/chervilstep/hooks.py
+++ b/chervilstep/hooks.py
@@ -83,6 +83,8 @@
 Policy: TypeAlias = Callable[
     [Node, Service, tuple[Upstream, ...], Instant], Upstream | None
 ]
+#: Queries that describe a part of the state for operators, as JSON values.
+Describe: TypeAlias = Callable[[Node, Instant], object]
 
 CHECKS: Final[Steps[Check]] = Steps()
 CHARGES: Final[Steps[Charge]] = Steps()
@@ -94,6 +96,10 @@
 MESSAGES: Final[Registry[type[Message]]] = new_registry('message')
 #: Periodic commands by name.
 TICKS: Final[Registry[Tick]] = new_registry('tick')
+#: Commands that hand over what this instance holds when it stops.
+FAREWELLS: Final[Steps[Periodic]] = Steps()
+#: The parts of the status page by name.
+STATUS_PARTS: Final[Registry[Describe]] = new_registry('status part')
 POLICIES: Final[Registry[Policy]] = new_registry('policy')
 
 
--- a/chervilstep/messages.py
+++ b/chervilstep/messages.py
@@ -1,5 +1,6 @@
 """The base of typed messages between instances, and the outbox for them."""
 
+from collections.abc import Callable
 from typing import Final, final
 
 #: Addresses a message to every peer that is connected.
@@ -68,11 +69,12 @@
 class Outbox:
     """Messages that commands want sent, until an adapter takes them."""
 
-    __slots__ = ('_letters',)
+    __slots__ = ('_letters', '_listener')
 
     def __init__(self) -> None:
         """Starts empty."""
         self._letters: list[Letter] = []
+        self._listener: Callable[[], None] | None = None
 
     @property
     def letters(self) -> tuple[Letter, ...]:
@@ -82,6 +84,12 @@
     def put(self, recipient: str, message: Message) -> None:
         """Adds a message for one instance or for ``EVERY_PEER``."""
         self._letters.append(Letter(recipient, message))
+        if self._listener is not None:
+            self._listener()
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Has ``listener`` called after each message that is put."""
+        self._listener = listener
 
     def clear(self) -> None:
         """Forgets the messages, once they were taken."""
--- /dev/null
+++ b/chervilstep/queries/load.py
@@ -0,0 +1,15 @@
+"""How loaded this instance is itself."""
+
+from typing import Final
+
+from chervilstep.node import Node
+from chervilstep.types import Instant
+
+#: Requests in flight at which an instance counts as fully loaded.
+FULL_LOAD_REQUESTS: Final = 200
+
+
+def own_load(node: Node, now: Instant) -> float:
+    """The fraction of this instance's capacity in use, from 0 to 1."""
+    in_flight = sum(load.in_flight for load in node.board.loads.values())
+    return min(1, in_flight / FULL_LOAD_REQUESTS)
--- /dev/null
+++ b/chervilstep/queries/status.py
@@ -0,0 +1,74 @@
+"""Describes the state of an instance for operators."""
+
+from chervilstep.hooks import STATUS_PARTS
+from chervilstep.node import Node
+from chervilstep.types import Instant
+
+
+@STATUS_PARTS.register('instance')
+def describe_instance(node: Node, now: Instant) -> dict[str, object]:
+    """The instance itself."""
+    return {
+        'name': node.settings.name,
+        'zone': node.settings.zone,
+        'leaving': node.members.is_leaving,
+    }
+
+
+@STATUS_PARTS.register('members')
+def describe_members(node: Node, now: Instant) -> dict[str, object]:
+    """The platform's list, and what was seen of each peer."""
+    views = node.members.views
+    return {
+        'revision': node.members.revision,
+        'instances': {
+            name: {
+                'zone': instance.zone,
+                'address': instance.address,
+                'leaving': instance.is_leaving,
+                'alive': name in views and views[name].is_alive(now),
+            }
+            for name, instance in node.members.listed.items()
+        },
+    }
+
+
+@STATUS_PARTS.register('configuration')
+def describe_configuration(node: Node, now: Instant) -> dict[str, object]:
+    """The accepted revision of each section, and the faults."""
+    configuration = node.configuration
+    return {
+        'sections': {
+            name: section.revision
+            for name, section in configuration.sections.items()
+        },
+        'faults': dict(configuration.faults),
+        'zones': {
+            name: state.value for name, state in node.snapshot.zones.items()
+        },
+    }
+
+
+@STATUS_PARTS.register('upstreams')
+def describe_upstreams(node: Node, now: Instant) -> dict[str, object]:
+    """The requests in flight at each upstream."""
+    return {
+        name: {'in_flight': load.in_flight}
+        for name, load in node.board.loads.items()
+    }
+
+
+@STATUS_PARTS.register('counters')
+def describe_counters(node: Node, now: Instant) -> dict[str, int]:
+    """Every counter with its labels in its name."""
+    return {
+        _counter_name(name, labels): total
+        for (name, labels), total in node.counters
+    }
+
+
+def _counter_name(name: str, labels: tuple[tuple[str, str], ...]) -> str:
+    if not labels:
+        return name
+    shown = ','.join(f'{label}={text}' for label, text in labels)
+    return f'{name}{{{shown}}}'
--- a/chervilstep/refusals.py
+++ b/chervilstep/refusals.py
@@ -146,6 +146,9 @@
 BODY_TOO_LARGE: Final = new_refusal(
     'body-too-large', 413, 'The body of the request is larger than the limit.'
 )
+HEADERS_TOO_LARGE: Final = new_refusal(
+    'headers-too-large', 431, 'The head of the request exceeds the limit.'
+)
 BAD_REQUEST: Final = new_refusal(
     'bad-request', 400, 'The request is not a well-formed HTTP request.'
 )
