Prove the verdicts of the pool, the entry and the peer streams on loopback

Cause: a cut answer was reported as a lost connection, and a refusal of a body that was still being sent was lost to a reset of the connection. Change: an answer whose head arrived counts as a bad answer; a body over the limit is read to its end and thrown away before the refusal is written. Ruled out: answering before the body ends, since closing on unread data resets the connection and takes the answer with it.

--- a/chervilstep/adapters/entry.py
+++ b/chervilstep/adapters/entry.py
@@ -121,6 +121,7 @@
         '_front',
         '_headers',
         '_is_answered',
+        '_refusal',
         '_size',
         '_start_line',
         '_task',
@@ -135,6 +136,7 @@
         self._chunks: list[bytes] = []
         self._size = 0
         self._is_answered = False
+        self._refusal: Refusal | None = None
         self._task: asyncio.Task[None] | None = None
 
     def headers_received(
@@ -142,7 +144,7 @@
         start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
         headers: httputil.HTTPHeaders,
     ) -> None:
-        """Takes the head and refuses what is too large already."""
+        """Takes the head and notes what is too large already."""
         if isinstance(start_line, httputil.RequestStartLine):
             self._start_line = start_line
         self._headers = headers
@@ -150,26 +152,29 @@
         if sum(len(name) + len(text) for name, text in headers.get_all()) > (
             limit
         ):
-            self._refuse(HEADERS_TOO_LARGE)
+            self._refusal = HEADERS_TOO_LARGE
         elif self._stated_length() > self._body_limit():
-            self._refuse(BODY_TOO_LARGE)
+            self._refusal = BODY_TOO_LARGE
 
     def data_received(self, chunk: bytes) -> None:
-        """Takes a part of the body."""
+        """Takes a part of the body.
+
+        A body over the limit is read to its end and thrown away: closing a
+        connection on unread data would take the refusal from the caller.
+        """
         self._size += len(chunk)
-        if self._is_answered:
-            return
         if self._size > self._body_limit():
-            self._refuse(BODY_TOO_LARGE)
-            return
-        self._chunks.append(chunk)
+            self._refusal = BODY_TOO_LARGE
+            self._chunks.clear()
+        if self._refusal is None:
+            self._chunks.append(chunk)
 
     def finish(self) -> None:
         """Starts to answer, once the request is whole."""
-        if self._is_answered:
-            return
         path, _, query = self._start_line.path.partition('?')
-        if path == LOCATOR_PATH:
+        if self._refusal is not None:
+            self._refuse(self._refusal)
+        elif path == LOCATOR_PATH:
             self._front.locate(self, query)
         elif header_rules.has_key_in_query(self._start_line.path):
             self._refuse(KEY_IN_QUERY)
--- a/chervilstep/adapters/peers.py
+++ b/chervilstep/adapters/peers.py
@@ -61,6 +61,12 @@
             self._reconcile()
             await asyncio.sleep(RECONCILE_SECONDS)
 
+    def drop(self, name: str) -> None:
+        """Closes the stream to ``name``; it may be dialled again."""
+        stream = self._streams.get(name)
+        if stream is not None:
+            stream.close()
+
     def close(self) -> None:
         """Ends every stream and dials no more."""
         self.stop()
--- a/chervilstep/adapters/pool.py
+++ b/chervilstep/adapters/pool.py
@@ -153,7 +153,7 @@
             return self._failed(Ending.TIMED_OUT, Verdict.MAY_HAVE_RUN)
         except (iostream.StreamClosedError, iostream.UnsatisfiableReadError):
             stream.close()
-            return self._failed(Ending.LOST, Verdict.MAY_HAVE_RUN)
+            return self._incomplete(reader)
         return self._conclude(attempt, connection, reader)
 
     def _write(
--- a/chervilstep/commands/membership.py
+++ b/chervilstep/commands/membership.py
@@ -26,7 +26,7 @@
     kind = 'heartbeat'
     fields = ('load', 'is_leaving')
 
-    def __init__(self, load: float, is_leaving: bool) -> None:  # noqa: FBT001
+    def __init__(self, load: float, is_leaving: bool) -> None:
         """Creates a heartbeat; ``load`` is a fraction of the capacity."""
         self._load = load
         self._is_leaving = is_leaving
--- /dev/null
+++ b/tests/test_entry.py
@@ -0,0 +1,154 @@
+"""Tests of the HTTP front end with raw requests."""
+
+import asyncio
+import json
+
+import pytest
+
+from chervilstep.calls import Answer
+from chervilstep.refusals import RATE_EXCEEDED
+from tests import builders
+from tests.wire_builders import an_entry, an_instance, exchange
+
+CLOSE = b'Connection: close\r\n\r\n'
+
+
+class Recorder:
+    """Replies to every call with one reply and keeps the calls."""
+
+    __slots__ = ('calls', 'reply')
+
+    def __init__(self, reply):
+        self.reply = reply
+        self.calls = []
+
+    async def __call__(self, call):
+        self.calls.append(call)
+        return self.reply
+
+
+def run_exchange(request, reply=None, node=None):
+    recorder = Recorder(
+        reply or Answer(200, 'OK', [('X-Served', 'yes')], b'body')
+    )
+
+    async def scenario():
+        async with an_entry(recorder, node) as port:
+            return await exchange(port, request)
+
+    return asyncio.run(scenario()), recorder.calls
+
+
+def test_a_request_becomes_a_call_without_its_key():
+    answer, (call,) = run_exchange(
+        b'POST /strike/1?fresh=yes HTTP/1.1\r\nHost: x\r\n'
+        b'Authorization: Bearer key-of-fletcher\r\n'
+        b'Chervilstep-Deadline-Ms: 900\r\nX-Own: kept\r\n'
+        b'Content-Length: 4\r\n' + CLOSE + b'cube'
+    )
+    assert answer.startswith(b'HTTP/1.1 200 OK\r\nX-Served: yes\r\n')
+    assert answer.endswith(b'\r\n\r\nbody')
+    assert call.key_digest == builders.digest_of(builders.KEY)
+    assert (call.path, call.body) == ('/strike/1', b'cube')
+    assert call.headers == (('Host', 'x'), ('X-Own', 'kept'))
+    assert call.deadline is not None
+
+
+def test_a_refusal_carries_its_verdict():
+    answer, _ = run_exchange(
+        b'GET /strike/1 HTTP/1.1\r\n' + CLOSE, RATE_EXCEEDED
+    )
+    head, _, body = answer.partition(b'\r\n\r\n')
+    assert head.startswith(b'HTTP/1.1 429 ')
+    assert b'Chervilstep-Verdict: not-run' in head
+    assert json.loads(body)['reason'] == 'rate-exceeded'
+
+
+@pytest.mark.parametrize(
+    ('request_bytes', 'status', 'reason'),
+    [
+        (b'GET /strike/1?key=a HTTP/1.1\r\n' + CLOSE, 400, b'key-in-query'),
+        (
+            b'POST /strike/ HTTP/1.1\r\nContent-Length: 2000000\r\n'
+            + CLOSE
+            + b'x' * 2000000,
+            413,
+            b'body-too-large',
+        ),
+        (
+            b'POST /strike/ HTTP/1.1\r\nTransfer-Encoding: chunked\r\n'
+            + CLOSE
+            + b'200000\r\n'
+            + b'x' * 0x200000
+            + b'\r\n0\r\n\r\n',
+            413,
+            b'body-too-large',
+        ),
+        (
+            b'GET /strike/ HTTP/1.1\r\nX-Long: '
+            + b'x' * 20000
+            + b'\r\n'
+            + CLOSE,
+            431,
+            b'headers-too-large',
+        ),
+    ],
+)
+def test_bad_input_is_refused_with_a_reason(request_bytes, status, reason):
+    answer, calls = run_exchange(request_bytes)
+    assert answer.startswith(f'HTTP/1.1 {status} '.encode())
+    assert reason in answer
+    assert b'not-run' in answer
+    assert not calls
+
+
+def test_the_locator_names_this_instance():
+    node = builders.a_node()
+    node.members.replace(1, [an_instance()])
+    answer, calls = run_exchange(
+        b'GET /chervilstep/addresses HTTP/1.1\r\n' + CLOSE, node=node
+    )
+    body = json.loads(answer.partition(b'\r\n\r\n')[2])
+    assert body == {'addresses': ['entry-1:8000'], 'keep_ms': 5000}
+    assert not calls
+
+
+def test_a_fault_inside_is_answered_with_a_verdict():
+    async def broken(call):
+        raise ValueError('broken')
+
+    async def scenario():
+        asyncio.get_running_loop().set_exception_handler(
+            lambda loop, context: None
+        )
+        async with an_entry(broken) as port:
+            return await exchange(port, b'GET /strike/1 HTTP/1.1\r\n' + CLOSE)
+
+    answer = asyncio.run(scenario())
+    assert b'Chervilstep-Verdict: may-have-run' in answer
+
+
+def test_a_caller_that_goes_cancels_its_call():
+    started = []
+    cancelled = []
+
+    async def wait_forever(call):
+        started.append(call)
+        try:
+            await asyncio.Event().wait()
+        except asyncio.CancelledError:
+            cancelled.append(call)
+            raise
+
+    async def scenario():
+        async with an_entry(wait_forever) as port:
+            _, writer = await asyncio.open_connection('127.0.0.1', port)
+            writer.write(b'GET /strike/1 HTTP/1.1\r\n\r\n')
+            while not started:
+                await asyncio.sleep(0)
+            writer.close()
+            while not cancelled:
+                await asyncio.sleep(0)
+
+    asyncio.run(scenario())
+    assert cancelled == started
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,101 @@
+"""Tests of the authenticated streams between instances."""
+
+import asyncio
+
+import pytest
+
+from chervilstep.adapters import codec, handshake
+from chervilstep.adapters.capabilities import load_capabilities
+from chervilstep.adapters.streams import connect
+from chervilstep.commands.membership import Heartbeat, send_heartbeat
+from chervilstep.exceptions import PeerError
+from chervilstep.messages import EVERY_PEER
+from tests.wire_builders import a_fleet
+
+load_capabilities()
+
+
+def test_heartbeats_reach_every_peer():
+    async def scenario():
+        async with a_fleet('a', 'b', 'c') as fleet:
+            await fleet.until(
+                lambda: all(
+                    len(streams.connected) == 2
+                    for streams in fleet.streams.values()
+                )
+            )
+            fleet.nodes['a'].members.leave()
+            send_heartbeat(fleet.nodes['a'], 0)
+            await fleet.until(
+                lambda: all(
+                    fleet.nodes[name].members.view('a').is_leaving
+                    for name in 'bc'
+                )
+            )
+
+    asyncio.run(scenario())
+
+
+def test_a_lost_stream_is_dialled_again():
+    async def scenario():
+        async with a_fleet('a', 'b') as fleet:
+            await fleet.until(lambda: fleet.streams['b'].connected)
+            fleet.streams['a'].drop('b')
+            await fleet.until(lambda: not fleet.streams['b'].connected)
+            await fleet.until(lambda: fleet.streams['b'].connected)
+
+    asyncio.run(scenario())
+
+
+def test_an_instance_without_the_secret_is_turned_away():
+    async def scenario():
+        async with a_fleet('a', 'b') as fleet:
+            address = fleet.nodes['a'].members.listed['b'].peer_address
+            stream = await connect(address)
+            with pytest.raises(PeerError):
+                await handshake.greet(stream, 'another secret', 'c', 'b')
+            stream.close()
+
+    asyncio.run(scenario())
+
+
+def test_nonsense_ends_the_stream():
+    async def scenario():
+        async with a_fleet('a', 'b') as fleet:
+            address = fleet.nodes['a'].members.listed['b'].peer_address
+            stream = await connect(address)
+            await handshake.greet(stream, 'test-secret', 'c', 'b')
+            await stream.write(codec.pack(['no such message']))
+            await stream.read_until_close()
+            counters = fleet.nodes['b'].counters
+            assert counters.total('peer_faults') == 1
+
+    asyncio.run(scenario())
+
+
+def test_messages_survive_the_codec():
+    heartbeat = Heartbeat(0.5, is_leaving=True)
+    frame = codec.encode(heartbeat)
+    assert codec.decode(['heartbeat', 0.5, True]) == heartbeat
+    assert len(frame) == codec.PREFIX_BYTES + 21
+
+
+@pytest.mark.parametrize(
+    'frame', [[], [1], ['unknown'], ['heartbeat', 1], ['heartbeat', 1, 2, 3]]
+)
+def test_frames_that_do_not_fit_are_faults(frame):
+    with pytest.raises(PeerError):
+        codec.decode(frame)
+
+
+def test_a_message_without_a_stream_is_counted():
+    async def scenario():
+        async with a_fleet('a') as fleet:
+            node = fleet.nodes['a']
+            node.outbox.put('b', Heartbeat(0, is_leaving=False))
+            node.outbox.put(EVERY_PEER, Heartbeat(0, is_leaving=False))
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            assert node.counters.total('peer_messages_unsent') == 1
+
+    asyncio.run(scenario())
--- /dev/null
+++ b/tests/test_pool.py
@@ -0,0 +1,134 @@
+"""Tests of how attempts end on real connections, and with which verdict."""
+
+import asyncio
+
+import pytest
+
+from chervilstep.calls import Ending
+from chervilstep.types import Verdict
+from tests import builders, wire_builders
+from tests.wire_builders import a_live_attempt, a_pool, a_raw_upstream
+
+HEAD = b'HTTP/1.1 200 OK\r\n'
+
+
+def test_a_whole_answer_ran_and_its_connection_is_used_again():
+    async def scenario():
+        pool = a_pool()
+        async with a_raw_upstream() as (server, upstream):
+            first = await pool.send(a_live_attempt(upstream))
+            second = await pool.send(a_live_attempt(upstream))
+            pool.close()
+        assert first.ending is second.ending is Ending.ANSWERED
+        assert first.verdict is Verdict.RAN
+        assert second.answer.body == b'ok'
+        assert server.connections == 1
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ('answer', 'ending', 'verdict'),
+    [
+        (wire_builders.NOT_RUN, Ending.SHED, Verdict.NOT_RUN),
+        (b'', Ending.LOST, Verdict.MAY_HAVE_RUN),
+        (b'nonsense\r\n\r\n', Ending.LOST, Verdict.MAY_HAVE_RUN),
+        (
+            HEAD + b'Content-Length: 9\r\n\r\ncut',
+            Ending.BAD_ANSWER,
+            Verdict.MAY_HAVE_RUN,
+        ),
+        (
+            HEAD + b'Transfer-Encoding: chunked\r\n\r\n3\r\ncut\r\n',
+            Ending.BAD_ANSWER,
+            Verdict.MAY_HAVE_RUN,
+        ),
+        (HEAD + b'\r\nendless', Ending.BAD_ANSWER, Verdict.MAY_HAVE_RUN),
+        (
+            HEAD + b'Content-Length: 99999999\r\n\r\n',
+            Ending.TOO_LARGE,
+            Verdict.RAN,
+        ),
+    ],
+)
+def test_what_an_upstream_sends_decides_the_verdict(answer, ending, verdict):
+    async def scenario():
+        pool = a_pool()
+        async with a_raw_upstream(answer, closes=True) as (_, upstream):
+            outcome = await pool.send(a_live_attempt(upstream))
+            pool.close()
+        assert (outcome.ending, outcome.verdict) == (ending, verdict)
+        assert outcome.answer is None
+
+    asyncio.run(scenario())
+
+
+def test_nothing_listening_means_not_run():
+    async def scenario():
+        upstream = builders.an_upstream(port=wire_builders.a_closed_port())
+        outcome = await a_pool().send(a_live_attempt(upstream))
+        assert outcome.ending is Ending.CONNECT_FAILED
+        assert outcome.verdict is Verdict.NOT_RUN
+
+    asyncio.run(scenario())
+
+
+def test_a_passed_deadline_sends_nothing():
+    async def scenario():
+        async with a_raw_upstream() as (server, upstream):
+            outcome = await a_pool().send(a_live_attempt(upstream, seconds=0))
+        assert outcome.verdict is Verdict.NOT_RUN
+        assert not server.connections
+
+    asyncio.run(scenario())
+
+
+def test_silence_ends_at_the_deadline_and_may_have_run():
+    async def scenario():
+        unfinished = HEAD + b'Content-Length: 9\r\n\r\n'
+        async with a_raw_upstream(unfinished) as (_, upstream):
+            attempt = a_live_attempt(upstream, seconds=0.05)
+            outcome = await a_pool().send(attempt)
+        assert outcome.ending is Ending.TIMED_OUT
+        assert outcome.verdict is Verdict.MAY_HAVE_RUN
+
+    asyncio.run(scenario())
+
+
+def test_a_distrusted_connection_is_not_used_again():
+    async def scenario():
+        pool = a_pool(is_trusted=lambda name, opened_at: False)
+        async with a_raw_upstream() as (server, upstream):
+            await pool.send(a_live_attempt(upstream))
+            await pool.send(a_live_attempt(upstream))
+        assert server.connections == 2
+
+    asyncio.run(scenario())
+
+
+def test_a_cancelled_attempt_closes_its_connection():
+    async def scenario():
+        pool = a_pool()
+        unfinished = HEAD + b'Content-Length: 9\r\n\r\n'
+        async with a_raw_upstream(unfinished) as (server, upstream):
+            task = asyncio.create_task(pool.send(a_live_attempt(upstream)))
+            while not server.requests:
+                await asyncio.sleep(0)
+            task.cancel()
+            with pytest.raises(asyncio.CancelledError):
+                await task
+            await pool.send(a_live_attempt(upstream, seconds=0.05))
+        assert server.connections == 2
+
+    asyncio.run(scenario())
+
+
+def test_the_deadline_and_the_attempt_travel_with_the_request():
+    async def scenario():
+        async with a_raw_upstream() as (server, upstream):
+            await a_pool().send(a_live_attempt(upstream))
+        (head,) = server.requests
+        assert b'Chervilstep-Attempt: 1' in head
+        assert b'Chervilstep-Deadline-Ms: 4' in head
+
+    asyncio.run(scenario())
--- /dev/null
+++ b/tests/wire_builders.py
@@ -0,0 +1,155 @@
+"""Builders of small servers and streams on loopback for adapter tests."""
+
+import asyncio
+import contextlib
+import time
+
+from tornado import httpserver, netutil
+
+from chervilstep.adapters.entry import new_entry_front
+from chervilstep.adapters.peers import new_peer_streams
+from chervilstep.adapters.pool import new_pool
+from chervilstep.calls import Attempt
+from chervilstep.members import Instance
+from chervilstep.types import new_deadline
+from tests import builders
+
+ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+NOT_RUN = (
+    b'HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\n'
+    b'Content-Length: 0\r\n\r\n'
+)
+
+
+class RawUpstream:
+    """Answers each request head with fixed bytes, then may close."""
+
+    __slots__ = ('_answer', '_closes', '_server', 'connections', 'requests')
+
+    def __init__(self, answer, closes):
+        self._answer = answer
+        self._closes = closes
+        self.connections = 0
+        self.requests = []
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        return self._server.sockets[0].getsockname()[1]
+
+    def stop(self):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                self.requests.append(head)
+                writer.write(self._answer)
+                await writer.drain()
+                if self._closes:
+                    break
+        writer.close()
+
+
+@contextlib.asynccontextmanager
+async def a_raw_upstream(answer=ANSWER, *, closes=False):
+    server = RawUpstream(answer, closes)
+    port = await server.start()
+    try:
+        yield server, builders.an_upstream(port=port)
+    finally:
+        server.stop()
+
+
+def a_pool(is_trusted=lambda name, opened_at: True):
+    return new_pool(builders.a_settings(), time.monotonic, is_trusted)
+
+
+def a_live_attempt(upstream, seconds=5, call=None):
+    now = time.monotonic()
+    ticket = builders.a_ticket(call=call, now=now)
+    return Attempt(ticket, upstream, 1, now, new_deadline(now, seconds))
+
+
+def a_closed_port():
+    """A port on which nothing listens."""
+    (socket,) = netutil.bind_sockets(0, '127.0.0.1')
+    port = socket.getsockname()[1]
+    socket.close()
+    return port
+
+
+@contextlib.asynccontextmanager
+async def an_entry(handle, node=None):
+    """Serves ``handle`` on a port of its own; yields the port."""
+    front = new_entry_front(node or builders.a_node(), handle, time.monotonic)
+    server = httpserver.HTTPServer(front, max_body_size=10**8)
+    (socket,) = netutil.bind_sockets(0, '127.0.0.1')
+    server.add_socket(socket)
+    try:
+        yield socket.getsockname()[1]
+    finally:
+        server.stop()
+
+
+async def exchange(port, request):
+    """Sends raw bytes and returns everything until the other end closes."""
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    writer.write(request)
+    answer = await reader.read()
+    writer.close()
+    return answer
+
+
+class Fleet:
+    """A few nodes whose peer streams run over loopback."""
+
+    __slots__ = ('_tasks', 'nodes', 'streams')
+
+    def __init__(self, names, secrets=None):
+        self.nodes = {name: builders.a_node(name=name) for name in names}
+        self.streams = {
+            name: new_peer_streams(node, time.monotonic)
+            for name, node in self.nodes.items()
+        }
+        self._tasks = []
+
+    def start(self):
+        listed = []
+        for name, streams in self.streams.items():
+            (socket,) = netutil.bind_sockets(0, '127.0.0.1')
+            streams.add_socket(socket)
+            port = socket.getsockname()[1]
+            listed.append(an_instance(name, peer_port=port))
+        for name, node in self.nodes.items():
+            node.members.replace(1, listed)
+            self._tasks.append(asyncio.create_task(self.streams[name].run()))
+
+    async def stop(self):
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for streams in self.streams.values():
+            streams.close()
+
+    async def until(self, condition):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+@contextlib.asynccontextmanager
+async def a_fleet(*names):
+    fleet = Fleet(names)
+    fleet.start()
+    try:
+        async with asyncio.timeout(20):
+            yield fleet
+    finally:
+        await fleet.stop()
+
+
+def an_instance(name='entry-1', zone='akl', peer_port=1, **changes):
+    return Instance(
+        name, zone, f'{name}:8000', f'127.0.0.1:{peer_port}', **changes
+    )
