--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,7 +2,7 @@
 
 import hashlib
 
-from chervilstep.calls import Attempt, Call, Ticket
+from chervilstep.calls import Answer, Attempt, Call, Ending, Outcome, Ticket
 from chervilstep.node import Node, new_node
 from chervilstep.settings import Settings
 from chervilstep.snapshot import (
@@ -14,7 +14,7 @@
     Upstream,
     ZoneState,
 )
-from chervilstep.types import new_deadline
+from chervilstep.types import Verdict, new_deadline
 
 KEY = 'key-of-fletcher'
 
@@ -112,3 +112,12 @@
         now,
         new_deadline(now, 1),
     )
+
+
+def an_outcome(ending=Ending.ANSWERED, ended_at=0, status=200):
+    answer = None
+    verdict = Verdict.NOT_RUN
+    if ending is Ending.ANSWERED:
+        answer = Answer(status, 'OK', (), b'')
+        verdict = Verdict.RAN
+    return Outcome(ending, verdict, ended_at, answer)
