--- a/chervilstep/node.py
+++ b/chervilstep/node.py
@@ -9,6 +9,7 @@
 from chervilstep.members import Members
 from chervilstep.messages import Outbox
 from chervilstep.settings import Settings
+from chervilstep.shares import Shares
 from chervilstep.snapshot import Snapshot
 
 
@@ -28,6 +29,7 @@
         '_outbox',
         '_rng',
         '_settings',
+        '_shares',
     )
 
     def __init__(self, settings: Settings, rng: random.Random) -> None:
@@ -39,6 +41,7 @@
         self._board = Board()
         self._counters = Counters()
         self._outbox = Outbox()
+        self._shares = Shares()
 
     @property
     def settings(self) -> Settings:
@@ -80,6 +83,11 @@
         """Messages for peers that were not sent yet."""
         return self._outbox
 
+    @property
+    def shares(self) -> Shares:
+        """The customers' tokens that this instance may spend."""
+        return self._shares
+
 
 def new_node(settings: Settings, seed: int | None = None) -> Node:
     """Creates the state of an instance; ``seed`` fixes its random numbers."""
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -3,6 +3,7 @@
 import hashlib
 
 from chervilstep.calls import Attempt, Call, Ticket
+from chervilstep.members import Instance
 from chervilstep.node import Node, new_node
 from chervilstep.settings import Settings
 from chervilstep.snapshot import (
@@ -112,3 +113,15 @@
         now,
         new_deadline(now, 1),
     )
+
+
+def a_listing(size, first=1, zones=('akl', 'ham', 'tga', 'wlg')):
+    return [
+        Instance(
+            f'entry-{index}',
+            zones[index % len(zones)],
+            f'127.0.0.1:{8000 + index}',
+            f'127.0.0.1:{9000 + index}',
+        )
+        for index in range(first, first + size)
+    ]
