--- a/tests/builders.py
+++ b/tests/builders.py
@@ -3,6 +3,7 @@
 import hashlib
 
 from chervilstep.calls import Answer, Attempt, Call, Ending, Outcome, Ticket
+from chervilstep.members import Instance
 from chervilstep.node import Node, new_node
 from chervilstep.settings import Settings
 from chervilstep.snapshot import (
@@ -121,3 +122,15 @@
         answer = Answer(status, 'OK', (), b'')
         verdict = Verdict.RAN
     return Outcome(ending, verdict, ended_at, answer)
+
+
+def a_listing(size, first=1, zones=('akl', 'ham', 'tga', 'wlg')):
+    return [
+        Instance(
+            f'entry-{index}',
+            zones[index % len(zones)],
+            f'127.0.0.1:{8000 + index}',
+            f'127.0.0.1:{9000 + index}',
+        )
+        for index in range(first, first + size)
+    ]
