Take admitted calls through a fair queue and their attempts

Cause: the front end needs one entry, Dispatcher.handle, behind which a call is admitted, waits, is sent and retried.

Change: the dispatcher joins queries and commands and decides nothing. Progress holds what the attempts of a call have shown, waiting.py the queue (start-time fair queueing over classes and customers), retrying.py what follows an attempt. A refusal after an attempt that may have run says so, also when the queue gives it. The choice of upstream and the admission are plain stand-ins.

Ruled out: futures in the state (an adapter's matter); waking all waiters to choose anew, which loses the fair order.

--- /dev/null
+++ b/chervilstep/adapters/dispatcher.py
@@ -0,0 +1,195 @@
+"""Takes calls through the queue and their attempts; decides nothing."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol, TypeAlias, final
+
+from chervilstep.calls import Attempt, Call, Ending, Outcome, Reply
+from chervilstep.commands import attempting as attempts
+from chervilstep.commands import loads as _loads  # noqa: F401
+from chervilstep.commands import queueing as queue_commands
+from chervilstep.node import Node
+from chervilstep.progress import Progress, new_progress
+from chervilstep.queries import admission, queueing, retrying
+from chervilstep.queries.attempting import new_attempt
+from chervilstep.refusals import Refusal
+from chervilstep.snapshot import Upstream
+from chervilstep.types import Instant, Verdict
+from chervilstep.waiting import Turn, Waiter
+
+#: Tells the time in monotonic seconds.
+Clock: TypeAlias = Callable[[], Instant]
+#: Resolves to what a waiting call gets.
+Grant: TypeAlias = asyncio.Future[Attempt | Refusal]
+
+
+class Pool(Protocol):
+    """Sends attempts to upstreams over pooled connections."""
+
+    async def send(self, attempt: Attempt) -> Outcome:
+        """Sends one attempt; cancelling the task cancels the attempt."""
+
+
+@final
+class Dispatcher:
+    """Runs admitted calls: waits for upstreams, sends, and retries.
+
+    Every decision is a query and every change a command; between a query
+    and the command that follows from it nothing is awaited.
+    """
+
+    __slots__ = ('_clock', '_grants', '_node', '_pool', '_timer', '_wakes_at')
+
+    def __init__(self, node: Node, pool: Pool, clock: Clock) -> None:
+        """Creates a dispatcher without calls."""
+        self._node = node
+        self._pool = pool
+        self._clock = clock
+        self._grants: dict[Waiter, Grant] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._wakes_at: Instant = 0
+
+    async def handle(self, call: Call) -> Reply:
+        """Returns the answer to a call, or why there is none."""
+        now = self._clock()
+        ticket = admission.admit(self._node, call, now)
+        if isinstance(ticket, Refusal):
+            return ticket
+        attempts.charge(self._node, ticket, now)
+        return await self._run(new_progress(ticket))
+
+    def wake(self) -> None:
+        """Serves the queues after a change of configuration or of loads."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        now = self._clock()
+        for service in tuple(self._node.waiting.queues):
+            for turn in queueing.hopeless_turns(self._node, service, now):
+                self._take_turn(turn, now)
+            self._serve(service, now)
+        wake_at = queueing.next_wake_at(self._node, now)
+        if wake_at is not None:
+            self._wake_by(wake_at)
+
+    async def _run(self, progress: Progress) -> Reply:
+        reply: Reply | None = None
+        while reply is None:
+            attempt = await self._acquire(progress)
+            if isinstance(attempt, Refusal):
+                return retrying.refusal_while_waiting(progress, attempt)
+            outcome = await self._send(progress, attempt)
+            reply = retrying.reply_after(progress, outcome, self._clock())
+        return reply
+
+    async def _acquire(self, progress: Progress) -> Attempt | Refusal:
+        now = self._clock()
+        upstream = queueing.immediate_upstream(self._node, progress, now)
+        if upstream is not None:
+            return self._start(progress, upstream, now)
+        refusal = queueing.objection(self._node, progress, now)
+        if refusal is not None:
+            return refusal
+        attempt = await self._wait(Waiter(progress, now))
+        if isinstance(attempt, Attempt):
+            return self._confirm(progress, attempt)
+        return attempt
+
+    def _start(
+        self, progress: Progress, upstream: Upstream, now: Instant
+    ) -> Attempt:
+        attempt = new_attempt(progress, upstream, now)
+        attempts.start(self._node, progress, attempt)
+        return attempt
+
+    def _confirm(
+        self, progress: Progress, attempt: Attempt
+    ) -> Attempt | Refusal:
+        # The process may have been paused since the grant.
+        refusal = queueing.lateness(progress, self._clock())
+        if refusal is None:
+            return attempt
+        self._give_back(progress, attempt)
+        return refusal
+
+    async def _wait(self, waiter: Waiter) -> Attempt | Refusal:
+        grant: Grant = asyncio.get_running_loop().create_future()
+        self._grants[waiter] = grant
+        queue_commands.enqueue(self._node, waiter)
+        self._wake_by(queueing.wake_at(waiter, self._clock()))
+        try:
+            return await grant
+        except asyncio.CancelledError:
+            self._abandon(waiter, grant)
+            raise
+
+    def _abandon(self, waiter: Waiter, grant: Grant) -> None:
+        if self._grants.pop(waiter, None) is not None:
+            queue_commands.withdraw(self._node, waiter)
+            return
+        if grant.cancelled():
+            return
+        # The upstream was granted, but nothing was sent yet.
+        attempt = grant.result()
+        if isinstance(attempt, Attempt):
+            self._give_back(waiter.progress, attempt)
+
+    def _give_back(self, progress: Progress, attempt: Attempt) -> None:
+        self._end(
+            progress,
+            attempt,
+            Outcome(Ending.CANCELLED, Verdict.NOT_RUN, self._clock()),
+        )
+
+    async def _send(self, progress: Progress, attempt: Attempt) -> Outcome:
+        try:
+            outcome = await self._pool.send(attempt)
+        except (asyncio.CancelledError, Exception):
+            self._end(
+                progress,
+                attempt,
+                Outcome(Ending.CANCELLED, Verdict.MAY_HAVE_RUN, self._clock()),
+            )
+            raise
+        self._end(progress, attempt, outcome)
+        return outcome
+
+    def _end(
+        self, progress: Progress, attempt: Attempt, outcome: Outcome
+    ) -> None:
+        attempts.end(self._node, progress, attempt, outcome)
+        self._serve(attempt.ticket.route.service, self._clock())
+
+    def _serve(self, service: str, now: Instant) -> None:
+        turn = queueing.next_turn(self._node, service, now)
+        while turn is not None:
+            self._take_turn(turn, now)
+            turn = queueing.next_turn(self._node, service, now)
+
+    def _take_turn(self, turn: Turn, now: Instant) -> None:
+        waiter = turn.waiter
+        grant = self._grants.pop(waiter)
+        upstream = turn.upstream
+        if grant.cancelled():
+            queue_commands.withdraw(self._node, waiter)
+        elif isinstance(upstream, Refusal):
+            queue_commands.withdraw(self._node, waiter)
+            grant.set_result(upstream)
+        else:
+            queue_commands.grant(self._node, waiter, now)
+            grant.set_result(self._start(waiter.progress, upstream, now))
+
+    def _wake_by(self, at: Instant) -> None:
+        if self._timer is not None:
+            if self._wakes_at <= at:
+                return
+            self._timer.cancel()
+        self._wakes_at = at
+        self._timer = asyncio.get_running_loop().call_later(
+            at - self._clock(), self.wake
+        )
+
+
+def new_dispatcher(node: Node, pool: Pool, clock: Clock) -> Dispatcher:
+    """Creates the dispatcher of an instance."""
+    return Dispatcher(node, pool, clock)
--- a/chervilstep/node.py
+++ b/chervilstep/node.py
@@ -10,6 +10,7 @@
 from chervilstep.messages import Outbox
 from chervilstep.settings import Settings
 from chervilstep.snapshot import Snapshot
+from chervilstep.waiting import Waiting
 
 
 @final
@@ -28,6 +29,7 @@
         '_outbox',
         '_rng',
         '_settings',
+        '_waiting',
     )
 
     def __init__(self, settings: Settings, rng: random.Random) -> None:
@@ -39,6 +41,7 @@
         self._board = Board()
         self._counters = Counters()
         self._outbox = Outbox()
+        self._waiting = Waiting()
 
     @property
     def settings(self) -> Settings:
@@ -80,6 +83,11 @@
         """Messages for peers that were not sent yet."""
         return self._outbox
 
+    @property
+    def waiting(self) -> Waiting:
+        """The calls that wait for an upstream."""
+        return self._waiting
+
 
 def new_node(settings: Settings, seed: int | None = None) -> Node:
     """Creates the state of an instance; ``seed`` fixes its random numbers."""
--- /dev/null
+++ b/chervilstep/queries/queueing.py
@@ -0,0 +1,198 @@
+"""Who waits, who is next, and who cannot be served in time."""
+
+from collections.abc import Iterator
+from typing import Final
+
+from chervilstep.node import Node
+from chervilstep.progress import Progress
+from chervilstep.queries.choice import choose, has_any
+from chervilstep.refusals import (
+    DEADLINE_PASSED,
+    NO_UPSTREAM,
+    QUEUE_FULL,
+    QUEUE_TIMEOUT,
+    QUEUE_TOO_LONG,
+    Refusal,
+)
+from chervilstep.snapshot import Priority, Upstream
+from chervilstep.types import Instant
+from chervilstep.waiting import TURN_COSTS, Lane, ServiceQueue, Turn, Waiter
+
+#: Calls that may wait for one service at one instance.
+MAX_WAITERS: Final = 1024
+#: Bodies that one instance holds for waiting calls.
+MAX_BODY_BYTES: Final = 48 * 1024 * 1024
+#: Waiting calls look again after this time, since knowledge of loads expires.
+RECHECK_SECONDS: Final = 0.05
+
+
+def immediate_upstream(
+    node: Node, progress: Progress, now: Instant
+) -> Upstream | None:
+    """Returns an upstream for a call that overtakes nobody."""
+    name = progress.ticket.route.service
+    queue = node.waiting.queues.get(name)
+    if queue is not None and len(queue):
+        return None
+    return _choose(node, name, progress, now)
+
+
+def objection(node: Node, progress: Progress, now: Instant) -> Refusal | None:
+    """Returns why a call need not start to wait, or None."""
+    hopeless = hopelessness(node, progress, now)
+    if hopeless is not None:
+        return hopeless
+    queue = node.waiting.queue(progress.ticket.route.service)
+    if is_full(node, queue, progress):
+        return QUEUE_FULL
+    remaining = progress.ticket.deadline.remaining(now)
+    if expected_wait(queue, progress, now) > remaining:
+        return QUEUE_TOO_LONG
+    return None
+
+
+def hopelessness(
+    node: Node, progress: Progress, now: Instant
+) -> Refusal | None:
+    """Returns why a call need not wait any longer, or None."""
+    if progress.ticket.deadline.has_passed(now):
+        return QUEUE_TIMEOUT
+    service = node.snapshot.services.get(progress.ticket.route.service)
+    if service is None or not has_any(node, service, progress.tried, now):
+        return NO_UPSTREAM
+    return None
+
+
+def lateness(progress: Progress, now: Instant) -> Refusal | None:
+    """Returns why an attempt that was granted must not be sent, or None."""
+    if progress.ticket.deadline.has_passed(now):
+        return DEADLINE_PASSED
+    return None
+
+
+def is_full(node: Node, queue: ServiceQueue, progress: Progress) -> bool:
+    """Whether the queue has no room for the call."""
+    size = len(progress.ticket.call.body)
+    if node.waiting.body_bytes + size > MAX_BODY_BYTES:
+        return True
+    return len(queue) >= MAX_WAITERS
+
+
+def expected_wait(
+    queue: ServiceQueue, progress: Progress, now: Instant
+) -> float:
+    """Estimates the seconds until a new waiter would be granted.
+
+    Zero while nothing is known of the pace. A queue that has stopped looks
+    slower with every second that it stands still.
+    """
+    pace = queue.pace
+    if pace.interval_seconds is None or pace.last_at is None:
+        return 0
+    interval = pace.interval_seconds
+    if len(queue):
+        interval = max(interval, now - pace.last_at)
+    return interval * turns_ahead(queue, progress)
+
+
+def turns_ahead(queue: ServiceQueue, progress: Progress) -> float:
+    """Estimates how many calls are granted before a new one of a customer.
+
+    In the customer's own class each other customer gets as many turns as
+    this one; the other classes get turns in proportion to their weights.
+    """
+    ticket = progress.ticket
+    priority = ticket.route.priority
+    own = _turns_in_lane(queue.lanes[priority], ticket.customer_name)
+    others = sum(
+        min(len(lane), own * _turns_ratio(other, priority))
+        for other, lane in queue.lanes.items()
+        if other is not priority
+    )
+    return own + others
+
+
+def candidates(queue: ServiceQueue) -> Iterator[Waiter]:
+    """Yields the waiters that may be granted next, the best one first.
+
+    Calls that were tried before cannot use every upstream, so the first one
+    of their line that can is offered too.
+    """
+    lanes = [(prio, lane) for prio, lane in queue.lanes.items() if len(lane)]
+    lanes.sort(key=lambda pair: (queue.shares.tag(pair[0].name), pair[0]))
+    for _, lane in lanes:
+        for customer in sorted(lane.lines, key=lane.shares.tag):
+            yield from _front(lane, customer)
+
+
+def next_turn(node: Node, service: str, now: Instant) -> Turn | None:
+    """Returns the waiter whose turn it is with its upstream, or None."""
+    queue = node.waiting.queues.get(service)
+    if queue is None or not len(queue):
+        return None
+    for waiter in candidates(queue):
+        if waiter.deadline.has_passed(now):
+            return Turn(waiter, QUEUE_TIMEOUT)
+        upstream = _choose(node, service, waiter.progress, now)
+        if upstream is not None:
+            return Turn(waiter, upstream)
+        if not waiter.is_retry:
+            break
+    return None
+
+
+def hopeless_turns(node: Node, service: str, now: Instant) -> list[Turn]:
+    """Returns the waiters that cannot be served, with the reasons."""
+    found = []
+    for waiter in node.waiting.queues.get(service, ()):
+        refusal = hopelessness(node, waiter.progress, now)
+        if refusal is not None:
+            found.append(Turn(waiter, refusal))
+    return found
+
+
+def wake_at(waiter: Waiter, now: Instant) -> Instant:
+    """Returns when a waiter must be looked at again."""
+    return min(now + RECHECK_SECONDS, waiter.deadline.at)
+
+
+def next_wake_at(node: Node, now: Instant) -> Instant | None:
+    """Returns when any waiter must be looked at again, if there is one."""
+    return min(
+        (
+            wake_at(waiter, now)
+            for queue in node.waiting.queues.values()
+            for waiter in queue
+        ),
+        default=None,
+    )
+
+
+def _choose(
+    node: Node, name: str, progress: Progress, now: Instant
+) -> Upstream | None:
+    service = node.snapshot.services.get(name)
+    if service is None:
+        return None
+    return choose(node, service, progress.tried, now)
+
+
+def _turns_in_lane(lane: Lane, customer: str) -> int:
+    own = len(lane.lines.get(customer, ()))
+    others = sum(
+        min(len(line), own + 1)
+        for name, line in lane.lines.items()
+        if name != customer
+    )
+    return own + others
+
+
+def _turns_ratio(other: Priority, own: Priority) -> float:
+    return TURN_COSTS[own] / TURN_COSTS[other]
+
+
+def _front(lane: Lane, customer: str) -> Iterator[Waiter]:
+    for waiter in lane.lines[customer]:
+        yield waiter
+        if not waiter.is_retry:
+            return
--- /dev/null
+++ b/chervilstep/queries/retrying.py
@@ -0,0 +1,76 @@
+"""What follows the end of an attempt: the reply, or another attempt."""
+
+from collections.abc import Mapping
+from typing import Final
+
+from chervilstep import refusals
+from chervilstep.calls import Call, Ending, Outcome, Reply
+from chervilstep.progress import Progress
+from chervilstep.types import Instant, Verdict
+
+#: Attempts of one call at this layer, the first one included.
+MAX_ATTEMPTS: Final = 3
+#: Carries the number of the attempt to the upstream.
+ATTEMPT_HEADER: Final = 'chervilstep-attempt'
+
+#: What the caller is told when the call may have run.
+_DOUBTS: Final[Mapping[Ending, refusals.Refusal]] = {
+    Ending.LOST: refusals.UPSTREAM_LOST,
+    Ending.TIMED_OUT: refusals.UPSTREAM_TIMEOUT,
+    Ending.BAD_ANSWER: refusals.BAD_ANSWER,
+    Ending.TOO_LARGE: refusals.ANSWER_TOO_LARGE,
+}
+#: What the caller is told when no attempt can have run.
+_TRUE_REFUSALS: Final[Mapping[Ending, refusals.Refusal]] = {
+    Ending.SHED: refusals.UPSTREAM_SHED,
+    Ending.CONNECT_FAILED: refusals.UPSTREAM_UNREACHABLE,
+    Ending.LOST_BEFORE_WRITE: refusals.UPSTREAM_UNREACHABLE,
+    Ending.TIMED_OUT: refusals.DEADLINE_PASSED,
+}
+
+
+def reply_after(
+    progress: Progress, outcome: Outcome, now: Instant
+) -> Reply | None:
+    """Returns the reply to the caller, or None when a retry is allowed."""
+    if outcome.answer is not None:
+        return outcome.answer
+    if may_retry(progress, outcome, now):
+        return None
+    return refusal_after(progress, outcome)
+
+
+def may_retry(progress: Progress, outcome: Outcome, now: Instant) -> bool:
+    """Whether the call may be sent again, to another upstream."""
+    ticket = progress.ticket
+    if progress.attempts >= MAX_ATTEMPTS or ticket.deadline.has_passed(now):
+        return False
+    if is_nested(ticket.call) or outcome.ending is Ending.CANCELLED:
+        return False
+    if outcome.verdict is Verdict.MAY_HAVE_RUN:
+        return ticket.is_idempotent
+    return outcome.verdict.is_safe_to_resend
+
+
+def is_nested(call: Call) -> bool:
+    """Whether the call is itself part of a retry at an outer layer."""
+    for name, text in call.headers:
+        if name.lower() == ATTEMPT_HEADER:
+            return text.strip() != '1'
+    return False
+
+
+def refusal_after(progress: Progress, outcome: Outcome) -> refusals.Refusal:
+    """Says truthfully how the call failed after its last attempt."""
+    if progress.doubt is None:
+        return _TRUE_REFUSALS.get(outcome.ending, refusals.UPSTREAM_UNREACHABLE)
+    return _DOUBTS.get(progress.doubt.ending, refusals.INTERNAL_ERROR)
+
+
+def refusal_while_waiting(
+    progress: Progress, refusal: refusals.Refusal
+) -> refusals.Refusal:
+    """Keeps a refusal of the queue true after attempts that may have run."""
+    if progress.doubt is None:
+        return refusal
+    return refusal_after(progress, progress.doubt)
--- a/chervilstep/refusals.py
+++ b/chervilstep/refusals.py
@@ -101,6 +101,11 @@
 QUEUE_FULL: Final = new_refusal(
     'queue-full', 503, 'Too many requests wait for this service.'
 )
+QUEUE_TOO_LONG: Final = new_refusal(
+    'queue-too-long',
+    503,
+    'The request would wait until after its deadline.',
+)
 QUEUE_TIMEOUT: Final = new_refusal(
     'queue-timeout', 503, 'No upstream was free before the deadline.'
 )
--- /dev/null
+++ b/tests/dispatch_builders.py
@@ -0,0 +1,70 @@
+"""Builders of dispatchers with fake pools on a virtual clock."""
+
+import asyncio
+
+from chervilstep.adapters.dispatcher import new_dispatcher
+from chervilstep.calls import Answer, Ending, Outcome
+from chervilstep.types import Verdict
+from tests.builders import a_node
+
+#: The verdict that the pool gives for each ending.
+VERDICTS = {
+    Ending.ANSWERED: Verdict.RAN,
+    Ending.SHED: Verdict.NOT_RUN,
+    Ending.CONNECT_FAILED: Verdict.NOT_RUN,
+    Ending.LOST_BEFORE_WRITE: Verdict.NOT_RUN,
+    Ending.LOST: Verdict.MAY_HAVE_RUN,
+    Ending.TIMED_OUT: Verdict.MAY_HAVE_RUN,
+    Ending.BAD_ANSWER: Verdict.MAY_HAVE_RUN,
+    Ending.TOO_LARGE: Verdict.RAN,
+}
+
+
+def an_answer(status=200, body=b'ok'):
+    return Answer(status, 'OK', (), body)
+
+
+def an_outcome(ending=Ending.ANSWERED, now=0, body=b'ok'):
+    answer = an_answer(body=body) if ending is Ending.ANSWERED else None
+    return Outcome(ending, VERDICTS[ending], now, answer)
+
+
+class Step:
+    """How the fake pool treats one attempt."""
+
+    def __init__(self, ending=Ending.ANSWERED, seconds=0.01):
+        self.ending = ending
+        self.seconds = seconds
+
+
+class FakePool:
+    """Plays steps in order, then ``default``; silent ones time out."""
+
+    def __init__(self, loop, steps=(), default=None):
+        self.loop = loop
+        self.steps = list(steps)
+        self.default = default or Step()
+        self.sent = []
+        self.cancelled = []
+
+    async def send(self, attempt):
+        self.sent.append(attempt)
+        step = self.steps.pop(0) if self.steps else self.default
+        try:
+            await self._hold(attempt, step)
+        except asyncio.CancelledError:
+            self.cancelled.append(attempt)
+            raise
+        body = attempt.upstream.name.encode()
+        return an_outcome(step.ending, self.loop.time(), body)
+
+    async def _hold(self, attempt, step):
+        if step.ending is Ending.TIMED_OUT:
+            left = attempt.deadline.remaining(self.loop.time())
+            await asyncio.sleep(left)
+        else:
+            await asyncio.sleep(step.seconds)
+
+
+def a_dispatcher(loop, pool=None, node=None):
+    return new_dispatcher(node or a_node(), pool or FakePool(loop), loop.time)
--- /dev/null
+++ b/tests/test_dispatcher.py
@@ -0,0 +1,144 @@
+"""Tests of a call's way through the dispatcher."""
+
+import asyncio
+
+import pytest
+
+from chervilstep import refusals
+from chervilstep.calls import Answer, Ending
+from tests.builders import (
+    a_call,
+    a_node,
+    a_service,
+    a_snapshot,
+    an_upstream,
+)
+from tests.dispatch_builders import FakePool, Step, a_dispatcher
+from tests.virtual_loop import run_virtually
+
+
+def handle(call, steps=(), node=None):
+    async def run(loop):
+        pool = FakePool(loop, steps)
+        reply = await a_dispatcher(loop, pool, node).handle(call)
+        return reply, pool
+
+    return run_virtually(run)
+
+
+def one_slot_node(**changes):
+    upstream = an_upstream(slots=1)
+    return a_node(a_snapshot(services=[a_service(upstreams=[upstream])]))
+
+
+def in_flight(node):
+    return sum(load.in_flight for load in node.board.loads.values())
+
+
+def test_call_is_answered_by_an_upstream():
+    reply, pool = handle(a_call())
+    assert isinstance(reply, Answer)
+    assert reply.body == pool.sent[0].upstream.name.encode()
+
+
+@pytest.mark.parametrize(
+    'call, refusal',
+    [
+        (a_call(target='/nowhere'), refusals.UNKNOWN_ROUTE),
+        (a_call(method='PUT'), refusals.METHOD_NOT_ALLOWED),
+        (a_call(key=None), refusals.MISSING_KEY),
+        (a_call(key='other'), refusals.UNKNOWN_KEY),
+    ],
+)
+def test_call_is_refused_before_anything_is_sent(call, refusal):
+    reply, pool = handle(call)
+    assert reply is refusal
+    assert not pool.sent
+
+
+@pytest.mark.parametrize(
+    'ending',
+    [Ending.SHED, Ending.CONNECT_FAILED, Ending.LOST_BEFORE_WRITE],
+)
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+def test_what_cannot_have_run_is_sent_elsewhere(method, ending):
+    reply, pool = handle(a_call(method), [Step(ending)])
+    assert isinstance(reply, Answer)
+    first, second = pool.sent
+    assert first.upstream is not second.upstream
+
+
+@pytest.mark.parametrize(
+    'ending', [Ending.LOST, Ending.TIMED_OUT, Ending.BAD_ANSWER]
+)
+def test_only_idempotent_calls_are_sent_again_in_doubt(ending):
+    reply, pool = handle(a_call('GET'), [Step(ending)])
+    assert isinstance(reply, Answer)
+    assert len(pool.sent) == 2
+    reply, pool = handle(a_call('POST'), [Step(ending)])
+    assert not reply.verdict.is_safe_to_resend
+    assert len(pool.sent) == 1
+
+
+def test_refusal_stays_true_when_an_earlier_attempt_may_have_run():
+    steps = [Step(Ending.LOST), Step(Ending.SHED), Step(Ending.SHED)]
+    reply, pool = handle(a_call('GET'), steps)
+    assert reply is refusals.UPSTREAM_LOST
+    assert len(pool.sent) == 3
+
+
+def test_waiting_call_gets_the_slot_that_frees():
+    node = one_slot_node()
+
+    async def run(loop):
+        pool = FakePool(loop)
+        dispatcher = a_dispatcher(loop, pool, node)
+        replies = await asyncio.gather(
+            *(dispatcher.handle(a_call()) for _ in range(5))
+        )
+        return replies, loop.time()
+
+    replies, elapsed = run_virtually(run)
+    assert all(isinstance(reply, Answer) for reply in replies)
+    assert elapsed == pytest.approx(0.05)
+    assert in_flight(node) == 0
+
+
+def test_waiting_call_is_refused_truly_at_its_deadline():
+    node = one_slot_node()
+
+    async def run(loop):
+        pool = FakePool(loop, default=Step(seconds=30))
+        dispatcher = a_dispatcher(loop, pool, node)
+        running = asyncio.ensure_future(dispatcher.handle(a_call()))
+        await asyncio.sleep(0)
+        reply = await dispatcher.handle(a_call())
+        running.cancel()
+        return reply, loop.time(), pool
+
+    reply, elapsed, pool = run_virtually(run)
+    assert reply is refusals.QUEUE_TIMEOUT
+    assert elapsed == pytest.approx(2)
+    assert len(pool.sent) == 1
+
+
+@pytest.mark.parametrize('turns', [0, 1, 2, 3])
+def test_cancelled_calls_leave_nothing_behind(turns):
+    node = one_slot_node()
+
+    async def run(loop):
+        dispatcher = a_dispatcher(loop, FakePool(loop), node)
+        first = asyncio.ensure_future(dispatcher.handle(a_call()))
+        second = asyncio.ensure_future(dispatcher.handle(a_call()))
+        await asyncio.sleep(0)
+        first.cancel()
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        second.cancel()
+        await asyncio.gather(first, second, return_exceptions=True)
+        return await dispatcher.handle(a_call())
+
+    assert isinstance(run_virtually(run), Answer)
+    assert in_flight(node) == 0
+    assert not node.waiting.body_bytes
+    assert not len(node.waiting.queue('strike'))
