--- a/chervilstep/adapters/dispatcher.py
+++ b/chervilstep/adapters/dispatcher.py
@@ -6,7 +6,6 @@
 
 from chervilstep.calls import Attempt, Call, Ending, Outcome, Reply
 from chervilstep.commands import attempting as attempts
-from chervilstep.commands import loads as _loads  # noqa: F401
 from chervilstep.commands import queueing as queue_commands
 from chervilstep.node import Node
 from chervilstep.progress import Progress, new_progress
--- a/chervilstep/queries/attempting.py
+++ b/chervilstep/queries/attempting.py
@@ -15,11 +15,15 @@
 def new_attempt(
     progress: Progress, upstream: Upstream, now: Instant
 ) -> Attempt:
-    """Creates the next attempt of a call at ``upstream``."""
+    """Creates the next attempt of a call at ``upstream``.
+
+    Its number goes on from that of the caller, so that each layer below
+    sees that it belongs to a retry.
+    """
     return Attempt(
         progress.ticket,
         upstream,
-        progress.attempts + 1,
+        progress.ticket.call.attempt + progress.attempts,
         now,
         attempt_deadline(progress, now),
     )
--- a/chervilstep/queries/retrying.py
+++ b/chervilstep/queries/retrying.py
@@ -10,8 +10,6 @@
 
 #: Attempts of one call at this layer, the first one included.
 MAX_ATTEMPTS: Final = 3
-#: Carries the number of the attempt to the upstream.
-ATTEMPT_HEADER: Final = 'chervilstep-attempt'
 
 #: What the caller is told when the call may have run.
 _DOUBTS: Final[Mapping[Ending, refusals.Refusal]] = {
@@ -53,11 +51,12 @@
 
 
 def is_nested(call: Call) -> bool:
-    """Whether the call is itself part of a retry at an outer layer."""
-    for name, text in call.headers:
-        if name.lower() == ATTEMPT_HEADER:
-            return text.strip() != '1'
-    return False
+    """Whether the call belongs to a retry of an outer layer.
+
+    Calls go several layers deep; only the first attempt of a request may
+    be retried below it, so that retries add up and do not multiply.
+    """
+    return call.attempt > 1
 
 
 def refusal_after(progress: Progress, outcome: Outcome) -> refusals.Refusal:
--- a/tests/dispatch_builders.py
+++ b/tests/dispatch_builders.py
@@ -2,10 +2,24 @@
 
 import asyncio
 
+from chervilstep.adapters.capabilities import load_capabilities
 from chervilstep.adapters.dispatcher import new_dispatcher
 from chervilstep.calls import Answer, Ending, Outcome
+from chervilstep.hooks import POLICIES
 from chervilstep.types import Verdict
-from tests.builders import a_node
+from tests.builders import a_node, a_service, a_snapshot, an_upstream
+
+load_capabilities()
+
+
+@POLICIES.register('free-slot')
+def choose_free_slot(node, service, usable, now):
+    """Takes the first upstream with a free slot."""
+    for upstream in usable:
+        if node.board.in_flight(upstream.name) < upstream.slots:
+            return upstream
+    return None
+
 
 #: The verdict that the pool gives for each ending.
 VERDICTS = {
@@ -68,3 +82,13 @@
 
 def a_dispatcher(loop, pool=None, node=None):
     return new_dispatcher(node or a_node(), pool or FakePool(loop), loop.time)
+
+
+def a_slotted_node(upstreams=1, slots=1, **parts):
+    """A node whose upstreams take one call for each slot."""
+    servers = [
+        an_upstream(f'strike-{index}', port=9000 + index, slots=slots)
+        for index in range(1, upstreams + 1)
+    ]
+    service = a_service(upstreams=servers, policy='free-slot')
+    return a_node(a_snapshot(services=[service], **parts))
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -6,14 +6,8 @@
 
 from chervilstep import refusals
 from chervilstep.calls import Answer, Ending
-from tests.builders import (
-    a_call,
-    a_node,
-    a_service,
-    a_snapshot,
-    an_upstream,
-)
-from tests.dispatch_builders import FakePool, Step, a_dispatcher
+from tests.builders import a_call
+from tests.dispatch_builders import FakePool, Step, a_dispatcher, a_slotted_node
 from tests.virtual_loop import run_virtually
 
 
@@ -26,11 +20,6 @@
     return run_virtually(run)
 
 
-def one_slot_node(**changes):
-    upstream = an_upstream(slots=1)
-    return a_node(a_snapshot(services=[a_service(upstreams=[upstream])]))
-
-
 def in_flight(node):
     return sum(load.in_flight for load in node.board.loads.values())
 
@@ -88,7 +77,7 @@
 
 
 def test_waiting_call_gets_the_slot_that_frees():
-    node = one_slot_node()
+    node = a_slotted_node()
 
     async def run(loop):
         pool = FakePool(loop)
@@ -105,7 +94,7 @@
 
 
 def test_waiting_call_is_refused_truly_at_its_deadline():
-    node = one_slot_node()
+    node = a_slotted_node()
 
     async def run(loop):
         pool = FakePool(loop, default=Step(seconds=30))
@@ -124,7 +113,7 @@
 
 @pytest.mark.parametrize('turns', [0, 1, 2, 3])
 def test_cancelled_calls_leave_nothing_behind(turns):
-    node = one_slot_node()
+    node = a_slotted_node()
 
     async def run(loop):
         dispatcher = a_dispatcher(loop, FakePool(loop), node)
