--- a/chervilstep/node.py
+++ b/chervilstep/node.py
@@ -11,6 +11,7 @@
 from chervilstep.settings import Settings
 from chervilstep.shares import Shares
 from chervilstep.snapshot import Snapshot
+from chervilstep.waiting import Waiting
 
 
 @final
@@ -30,6 +31,7 @@
         '_rng',
         '_settings',
         '_shares',
+        '_waiting',
     )
 
     def __init__(self, settings: Settings, rng: random.Random) -> None:
@@ -42,6 +44,7 @@
         self._counters = Counters()
         self._outbox = Outbox()
         self._shares = Shares()
+        self._waiting = Waiting()
 
     @property
     def settings(self) -> Settings:
@@ -88,6 +91,11 @@
         """The customers' tokens that this instance may spend."""
         return self._shares
 
+    @property
+    def waiting(self) -> Waiting:
+        """The calls that wait for an upstream."""
+        return self._waiting
+
 
 def new_node(settings: Settings, seed: int | None = None) -> Node:
     """Creates the state of an instance; ``seed`` fixes its random numbers."""
