--- /dev/null
+++ b/lab/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Changes of the state of the stand-ins; they return nothing."""
--- /dev/null
+++ b/lab/deployment.py
@@ -0,0 +1,228 @@
+"""Starts one whole deployment: stand-ins and entry processes."""
+
+import asyncio
+import json
+import pathlib
+import tomllib
+from collections.abc import Mapping
+from typing import Any, Final, final
+
+from lab.client import Client, NoAnswer, NotSent, order
+from lab.plans import Plan
+from lab.processes import Processes, free_ports
+from lab.sections import Limit, document, instance_values
+from lab.topology import EntryPlace, Topology, new_topology, ports_needed
+
+#: How long processes may take until they answer.
+START_SECONDS: Final = 30
+_POLL_SECONDS: Final = 0.1
+_LOCATOR: Final = '/chervilstep/addresses'
+
+
+@final
+class Deployment:
+    """A deployment whose processes run, and the orders to its stand-ins."""
+
+    __slots__ = ('_folder', '_processes', '_topology')
+
+    def __init__(
+        self, topology: Topology, processes: Processes, folder: pathlib.Path
+    ) -> None:
+        """Creates a deployment; settings and logs go to ``folder``."""
+        self._topology = topology
+        self._processes = processes
+        self._folder = folder
+
+    @property
+    def topology(self) -> Topology:
+        """What runs where."""
+        return self._topology
+
+    @property
+    def processes(self) -> Processes:
+        """The processes."""
+        return self._processes
+
+    async def start_stand_ins(
+        self, mean_seconds: float, cold_seconds: float, seed: int
+    ) -> None:
+        """Starts the platform and the upstreams, and waits for them."""
+        topology = self._topology
+        self._processes.start(
+            'platform',
+            'lab',
+            'platform',
+            str(topology.platform_port),
+            topology.platform_control.partition(':')[2],
+        )
+        for service in topology.plan.services:
+            spec = self._folder / f'{service.name}.json'
+            spec.write_text(
+                json.dumps(
+                    _upstream_spec(
+                        topology, service.name, mean_seconds, cold_seconds, seed
+                    )
+                )
+            )
+            self._processes.start(service.name, 'lab', 'upstream', str(spec))
+        await _wait_for(topology.platform_control, '/control/calls')
+        for port in topology.control_ports.values():
+            await _wait_for(f'127.0.0.1:{port}', '/control/counts')
+
+    async def start_entries(self) -> None:
+        """Starts every entry instance and waits until each one answers."""
+        for place in self._topology.entries:
+            self.start_entry(place)
+        for place in self._topology.entries:
+            await _wait_for(place.address, _LOCATOR)
+
+    def start_entry(self, place: EntryPlace) -> None:
+        """Starts one entry instance."""
+        settings = self._folder / f'{place.name}.toml'
+        text = _settings_text(place, self._topology.platform_port)
+        tomllib.loads(text)
+        settings.write_text(text)
+        self._processes.start(
+            place.name, 'chervilstep', 'serve', '--settings', str(settings)
+        )
+
+    async def put(self, values: Mapping[str, str | None]) -> None:
+        """Sets values of the platform."""
+        await order(self._topology.platform_control, '/control/put', values)
+
+    async def harm_platform(self, fault: str, argument: str = '') -> None:
+        """Brings a fault of the platform about."""
+        data = {'fault': fault, 'argument': argument}
+        await order(self._topology.platform_control, '/control/fault', data)
+
+    async def harm(
+        self, names: tuple[str, ...], fault: str, argument: str = ''
+    ) -> None:
+        """Brings a fault of some upstreams about."""
+        data = {'upstreams': names, 'fault': fault, 'argument': argument}
+        for port in self._topology.control_ports.values():
+            await order(f'127.0.0.1:{port}', '/control/fault', data)
+
+    async def platform_calls(self) -> dict[str, int]:
+        """How many calls the platform counted, by kind and prefix."""
+        answer = await order(
+            self._topology.platform_control, '/control/calls', None
+        )
+        return dict(answer['calls'])
+
+    async def upstream_counts(self) -> 'UpstreamCounts':
+        """What all upstreams counted."""
+        counts: dict[str, dict[str, int]] = {}
+        runs: dict[str, int] = {}
+        for port in self._topology.control_ports.values():
+            answer = await order(f'127.0.0.1:{port}', '/control/counts', None)
+            counts.update(answer['upstreams'])
+            runs.update(answer['runs'])
+        return UpstreamCounts(counts, runs)
+
+
+@final
+class UpstreamCounts:
+    """What the upstreams counted since they were started."""
+
+    __slots__ = ('_by_upstream', '_runs')
+
+    def __init__(
+        self, by_upstream: dict[str, dict[str, int]], runs: dict[str, int]
+    ) -> None:
+        """Creates the counts; ``runs`` are by request id."""
+        self._by_upstream = by_upstream
+        self._runs = runs
+
+    @property
+    def by_upstream(self) -> dict[str, dict[str, int]]:
+        """The counts of each upstream."""
+        return self._by_upstream
+
+    @property
+    def runs(self) -> dict[str, int]:
+        """How often each request was started."""
+        return self._runs
+
+    def total(self, what: str) -> int:
+        """One count over all upstreams."""
+        return sum(counts.get(what, 0) for counts in self._by_upstream.values())
+
+
+def new_deployment(
+    plan: Plan, instances: int, processes: Processes, folder: pathlib.Path
+) -> Deployment:
+    """Plans a deployment on free ports; nothing is started yet."""
+    ports = free_ports(ports_needed(plan, instances))
+    topology = new_topology(plan, instances, ports)
+    return Deployment(topology, processes, folder)
+
+
+async def publish(
+    deployment: Deployment, limits: Mapping[str, Limit], policy: str
+) -> None:
+    """Writes the whole document and the list of instances."""
+    values: dict[str, str | None] = {
+        **document(deployment.topology, limits, policy),
+        **instance_values(deployment.topology),
+    }
+    await deployment.put(values)
+
+
+def _upstream_spec(
+    topology: Topology,
+    service: str,
+    mean_seconds: float,
+    cold_seconds: float,
+    seed: int,
+) -> dict[str, Any]:
+    plan = topology.plan
+    return {
+        'ports': {
+            place.name: place.port for place in topology.upstreams_of(service)
+        },
+        'traits': {
+            'slots': plan.slots,
+            'mean_seconds': mean_seconds,
+            'cold_seconds': cold_seconds,
+            'probe_seconds': plan.probe_seconds,
+            'seed': seed,
+        },
+        'connection_limit': plan.connection_limit,
+        'control_port': topology.control_ports[service],
+    }
+
+
+def _settings_text(place: EntryPlace, platform_port: int) -> str:
+    settings = {
+        'name': place.name,
+        'zone': place.zone,
+        'entry_address': place.address,
+        'peer_address': place.peer_address,
+        'admin_address': place.admin_address,
+        'configuration_source': f'platform://127.0.0.1:{platform_port}',
+        'peer_secret': 'lab-secret-between-instances',
+    }
+    return ''.join(f'{name} = "{value}"\n' for name, value in settings.items())
+
+
+async def _wait_for(address: str, target: str) -> None:
+    client = Client()
+    try:
+        async with asyncio.timeout(START_SECONDS):
+            while not await _answers(client, address, target):
+                await asyncio.sleep(_POLL_SECONDS)
+    except TimeoutError:
+        raise TimeoutError(
+            f'{address} did not answer within {START_SECONDS} s'
+        ) from None
+    finally:
+        client.close()
+
+
+async def _answers(client: Client, address: str, target: str) -> bool:
+    try:
+        response = await client.send(address, 'GET', target, {}, seconds=1)
+    except (NotSent, NoAnswer):
+        return False
+    return response.status == 200
--- /dev/null
+++ b/lab/queries/__init__.py
@@ -0,0 +1,1 @@
+"""Reads of the state of the stand-ins; they change nothing."""
--- /dev/null
+++ b/lab/topology.py
@@ -0,0 +1,174 @@
+"""Where everything of one deployment listens, and who may call at what rate."""
+
+from typing import final
+
+from lab.plans import Plan
+
+
+@final
+class EntryPlace:
+    """The name, zone and ports of one entry instance."""
+
+    __slots__ = ('_admin_port', '_name', '_peer_port', '_port', '_zone')
+
+    def __init__(
+        self, name: str, zone: str, port: int, peer_port: int, admin_port: int
+    ) -> None:
+        """Creates the place of an instance."""
+        self._name = name
+        self._zone = zone
+        self._port = port
+        self._peer_port = peer_port
+        self._admin_port = admin_port
+
+    @property
+    def name(self) -> str:
+        """The name of the instance."""
+        return self._name
+
+    @property
+    def zone(self) -> str:
+        """Its availability zone."""
+        return self._zone
+
+    @property
+    def address(self) -> str:
+        """Where callers connect to."""
+        return f'127.0.0.1:{self._port}'
+
+    @property
+    def peer_address(self) -> str:
+        """Where other instances connect to."""
+        return f'127.0.0.1:{self._peer_port}'
+
+    @property
+    def admin_address(self) -> str:
+        """Where operators connect to."""
+        return f'127.0.0.1:{self._admin_port}'
+
+
+@final
+class UpstreamPlace:
+    """The name, zone and port of one upstream."""
+
+    __slots__ = ('_name', '_port', '_service', '_zone')
+
+    def __init__(self, name: str, service: str, zone: str, port: int) -> None:
+        """Creates the place of an upstream."""
+        self._name = name
+        self._service = service
+        self._zone = zone
+        self._port = port
+
+    @property
+    def name(self) -> str:
+        """The name in the operators' document."""
+        return self._name
+
+    @property
+    def service(self) -> str:
+        """The service that it belongs to."""
+        return self._service
+
+    @property
+    def zone(self) -> str:
+        """Its availability zone."""
+        return self._zone
+
+    @property
+    def port(self) -> int:
+        """Where it listens."""
+        return self._port
+
+
+@final
+class Topology:
+    """One deployment with all its ports."""
+
+    __slots__ = ('_controls', '_entries', '_plan', '_platform', '_upstreams')
+
+    def __init__(
+        self,
+        plan: Plan,
+        entries: tuple[EntryPlace, ...],
+        upstreams: tuple[UpstreamPlace, ...],
+        platform: tuple[int, int],
+        controls: dict[str, int],
+    ) -> None:
+        """Creates a topology; ``controls`` are ports by service."""
+        self._plan = plan
+        self._entries = entries
+        self._upstreams = upstreams
+        self._platform = platform
+        self._controls = dict(controls)
+
+    @property
+    def plan(self) -> Plan:
+        """What is deployed."""
+        return self._plan
+
+    @property
+    def entries(self) -> tuple[EntryPlace, ...]:
+        """The entry instances."""
+        return self._entries
+
+    @property
+    def upstreams(self) -> tuple[UpstreamPlace, ...]:
+        """The upstreams of all services."""
+        return self._upstreams
+
+    @property
+    def platform_port(self) -> int:
+        """Where the platform stand-in serves."""
+        return self._platform[0]
+
+    @property
+    def platform_control(self) -> str:
+        """Where the platform stand-in is controlled."""
+        return f'127.0.0.1:{self._platform[1]}'
+
+    @property
+    def control_ports(self) -> dict[str, int]:
+        """The control port of each service's upstream process."""
+        return self._controls
+
+    def upstreams_of(self, service: str) -> tuple[UpstreamPlace, ...]:
+        """The upstreams of one service."""
+        return tuple(
+            place for place in self._upstreams if place.service == service
+        )
+
+
+def new_topology(plan: Plan, instances: int, ports: list[int]) -> Topology:
+    """Spreads a plan over the zones in turn, on free ports."""
+    left = iter(ports)
+    zones = plan.zones
+    entries = tuple(
+        EntryPlace(
+            f'entry-{index + 1}',
+            zones[index % len(zones)],
+            next(left),
+            next(left),
+            next(left),
+        )
+        for index in range(instances)
+    )
+    upstreams = tuple(
+        UpstreamPlace(
+            f'{service.name}-{index + 1}',
+            service.name,
+            zones[index % len(zones)],
+            next(left),
+        )
+        for service in plan.services
+        for index in range(service.servers)
+    )
+    controls = {service.name: next(left) for service in plan.services}
+    platform = (next(left), next(left))
+    return Topology(plan, entries, upstreams, platform, controls)
+
+
+def ports_needed(plan: Plan, instances: int) -> int:
+    """How many ports a topology takes."""
+    upstreams = sum(service.servers for service in plan.services)
+    return 3 * instances + upstreams + len(plan.services) + 2
