Build the lab's deployments from the example documents

Cause: the lab wrote a document of its own, so it could not show that the examples work, and their customers and routes stood twice.

Change: lab/plans.py reads examples/ with the product's own parser; lab/documents.py edits the texts as a team would (ports, policy, a zone, an upstream, limits, a revocation) and fails when an edit finds nothing.

Ruled out: rendering sections from a model, which would stand twice.

Conclusion: both example documents compose to the lab's topology in tests.

--- a/lab/caller.py
+++ b/lab/caller.py
@@ -10,7 +10,7 @@
 from chervilstep.types import Instant
 from lab import headers as names
 from lab.client import Client, NoAnswer, NotSent, Response
-from lab.sections import key_of
+from lab.documents import key_of
 
 #: How long a caller waits beyond its deadline before it gives up.
 GRACE_SECONDS: Final = 2
--- a/lab/demo.py
+++ b/lab/demo.py
@@ -1,19 +1,18 @@
 """The demonstration: three entry instances and real calls through them."""
 
 import asyncio
-import collections
 import pathlib
 import random
 import tempfile
 import time
 from typing import Final, final
 
+from chervilstep.snapshot import Route
 from lab.caller import Caller, Meeting, Request
 from lab.client import Client
 from lab.deployment import Deployment, new_deployment, publish
 from lab.plans import PLANS
 from lab.processes import Processes
-from lab.sections import Limit
 
 INSTANCES: Final = 3
 CALLS_PER_ROUTE: Final = 6
@@ -78,8 +77,7 @@
     topology = deployment.topology
     print('Starting the platform and the upstreams of New Zealand ...')
     await deployment.start_stand_ins(_MEAN_SECONDS, 1, 1)
-    limits = dict.fromkeys(topology.plan.customers, Limit(100, 20))
-    await publish(deployment, limits, '')
+    await publish(deployment, {}, '')
     print(f'Starting {len(topology.entries)} entry instances ...')
     await deployment.start_entries()
     client = Client()
@@ -130,35 +128,39 @@
 
 
 def _new_steps(deployment: Deployment) -> list[Step]:
-    plan = deployment.topology.plan
-    numbers = iter(range(1000))
-    customers = collections.deque(plan.customers)
-    steps = []
-    for service in plan.services:
-        for _ in range(CALLS_PER_ROUTE):
-            number = next(numbers)
-            customers.rotate(1)
-            method = 'POST' if number % 2 else 'GET'
-            body = f'cube set {number}'.encode() if number % 2 else b''
-            request = Request(
-                f'demo-{number}',
-                customers[0],
-                method,
-                f'/{service.name}/{number}',
-                body,
-            )
-            steps.append(Step(request))
+    routes = deployment.topology.plan.snapshot.routes
+    steps = [
+        _new_step(route, number)
+        for route in routes
+        for number in range(CALLS_PER_ROUTE)
+    ]
     bad = [
         ('/nowhere/1', 'unknown-route', None),
         ('/strike/1', 'missing-key', ''),
         ('/strike/1', 'unknown-key', 'not-a-key'),
     ]
     for target, reason, key in bad:
-        request = Request(f'demo-{next(numbers)}', customers[0], 'GET', target)
+        request = Request(f'demo-{reason}', 'fletcher', 'GET', target)
         steps.append(Step(request, reason, key))
     return steps
 
 
+def _new_step(route: Route, number: int) -> Step:
+    """Lets every customer of the route call, and every method be used."""
+    methods = sorted(route.methods - {'HEAD'})
+    customers = sorted(route.customers) or ['']
+    method = methods[number % len(methods)]
+    body = f'cube set {number}'.encode() if method == 'POST' else b''
+    request = Request(
+        f'demo-{route.name}-{number}',
+        customers[number % len(customers)],
+        method,
+        f'{route.path}{number}',
+        body,
+    )
+    return Step(request, key='' if route.is_open else None)
+
+
 def _print_logs(folder: pathlib.Path) -> None:
     for log in sorted(folder.glob('*.log')):
         text = log.read_text().strip()
--- a/lab/deployment.py
+++ b/lab/deployment.py
@@ -8,9 +8,14 @@
 from typing import Any, Final, final
 
 from lab.client import Client, NoAnswer, NotSent, order
+from lab.documents import (
+    Limit,
+    document,
+    instance_values,
+    section_values,
+)
 from lab.plans import Plan
 from lab.processes import Processes, free_ports
-from lab.sections import Limit, document, instance_values
 from lab.topology import EntryPlace, Topology, new_topology, ports_needed
 
 #: How long processes may take until they answer.
@@ -55,16 +60,16 @@
             str(topology.platform_port),
             topology.platform_control.partition(':')[2],
         )
-        for service in topology.plan.services:
-            spec = self._folder / f'{service.name}.json'
+        for service in topology.control_ports:
+            spec = self._folder / f'{service}.json'
             spec.write_text(
                 json.dumps(
                     _upstream_spec(
-                        topology, service.name, mean_seconds, cold_seconds, seed
+                        topology, service, mean_seconds, cold_seconds, seed
                     )
                 )
             )
-            self._processes.start(service.name, 'lab', 'upstream', str(spec))
+            self._processes.start(service, 'lab', 'upstream', str(spec))
         await _wait_for(topology.platform_control, '/control/calls')
         for port in topology.control_ports.values():
             await _wait_for(f'127.0.0.1:{port}', '/control/counts')
@@ -163,7 +168,7 @@
 ) -> None:
     """Writes the whole document and the list of instances."""
     values: dict[str, str | None] = {
-        **document(deployment.topology, limits, policy),
+        **section_values(document(deployment.topology, limits, policy)),
         **instance_values(deployment.topology),
     }
     await deployment.put(values)
@@ -182,7 +187,7 @@
             place.name: place.port for place in topology.upstreams_of(service)
         },
         'traits': {
-            'slots': plan.slots,
+            'slots': plan.snapshot.services[service].upstreams[0].slots,
             'mean_seconds': mean_seconds,
             'cold_seconds': cold_seconds,
             'probe_seconds': plan.probe_seconds,
--- a/lab/plans.py
+++ b/lab/plans.py
@@ -1,88 +1,47 @@
-"""The deployments of the brief, at its sizes."""
+"""The deployments of the brief: their example documents and sizes."""
 
+import pathlib
 from collections.abc import Callable, Mapping
 from typing import Final, TypeAlias, final
 
+from chervilstep.queries.composition import compose
+from chervilstep.queries.document import parse_section
 from chervilstep.registry import Registry, new_registry
+from chervilstep.snapshot import Snapshot
 
-
-@final
-class ServicePlan:
-    """One service: how many servers, and the route in front of it."""
-
-    __slots__ = ('_idempotent', '_name', '_priority', '_servers')
-
-    def __init__(
-        self,
-        name: str,
-        servers: int,
-        *,
-        priority: str = 'normal',
-        idempotent: tuple[str, ...] = ('GET',),
-    ) -> None:
-        """Creates a service whose route has the path ``/name/``."""
-        self._name = name
-        self._servers = servers
-        self._priority = priority
-        self._idempotent = idempotent
-
-    @property
-    def name(self) -> str:
-        """The name of the service and of its route."""
-        return self._name
-
-    @property
-    def servers(self) -> int:
-        """How many upstreams it has."""
-        return self._servers
-
-    @property
-    def priority(self) -> str:
-        """The priority of its route."""
-        return self._priority
-
-    @property
-    def idempotent(self) -> tuple[str, ...]:
-        """The methods that may be sent again."""
-        return self._idempotent
+EXAMPLES: Final = pathlib.Path(__file__).parent.parent / 'examples'
 
 
 @final
 class Plan:
-    """One deployment: zones, services, customers and sizes."""
+    """One deployment: its document and what its machines are like."""
 
     __slots__ = (
         '_connection_limit',
-        '_customers',
         '_instances',
         '_name',
         '_probe_seconds',
-        '_services',
-        '_slots',
-        '_zones',
+        '_snapshot',
+        '_texts',
     )
 
     def __init__(
         self,
         name: str,
-        zones: tuple[str, ...],
-        services: tuple[ServicePlan, ...],
-        customers: Mapping[str, float],
+        texts: Mapping[str, str],
         *,
         instances: int,
         connection_limit: int,
         probe_seconds: float = 0,
-        slots: int = 3,
     ) -> None:
-        """Creates a plan; ``customers`` gives each one's share of the load."""
+        """Creates a plan from the texts of the sections by their names."""
         self._name = name
-        self._zones = zones
-        self._services = services
-        self._customers = dict(customers)
+        self._texts = dict(texts)
+        contents = {name: parse_section(text) for name, text in texts.items()}
+        self._snapshot = compose(contents).snapshot
         self._instances = instances
         self._connection_limit = connection_limit
         self._probe_seconds = probe_seconds
-        self._slots = slots
 
     @property
     def name(self) -> str:
@@ -90,19 +49,19 @@
         return self._name
 
     @property
-    def zones(self) -> tuple[str, ...]:
-        """The availability zones."""
-        return self._zones
+    def texts(self) -> Mapping[str, str]:
+        """The sections of the example document by name."""
+        return self._texts
 
     @property
-    def services(self) -> tuple[ServicePlan, ...]:
-        """The services."""
-        return self._services
+    def snapshot(self) -> Snapshot:
+        """What the example document says."""
+        return self._snapshot
 
     @property
-    def customers(self) -> Mapping[str, float]:
-        """Each customer's share of the load."""
-        return self._customers
+    def zones(self) -> tuple[str, ...]:
+        """The availability zones."""
+        return tuple(self._snapshot.zones)
 
     @property
     def instances(self) -> int:
@@ -121,13 +80,12 @@
 
     @property
     def slots(self) -> int:
-        """How many requests an upstream runs at once."""
-        return self._slots
-
-    @property
-    def total_slots(self) -> int:
         """The slots of all upstreams together."""
-        return self._slots * sum(plan.servers for plan in self._services)
+        return sum(
+            upstream.slots
+            for service in self._snapshot.services.values()
+            for upstream in service.upstreams
+        )
 
 
 PlanFactory: TypeAlias = Callable[[], Plan]
@@ -137,28 +95,7 @@
 @PLANS.register('nz')
 def new_nz_plan() -> Plan:
     """The Aotearoa Concrete Assurance Trust."""
-    return Plan(
-        'nz',
-        ('akl', 'ham', 'tga', 'wlg'),
-        (
-            ServicePlan('results', 10),
-            ServicePlan('intake', 8, idempotent=()),
-            ServicePlan('curing', 10, priority='bulk'),
-            ServicePlan('strike', 8, priority='urgent'),
-        ),
-        {
-            'fletcher': 0.3,
-            'naylor': 0.25,
-            'hamilton-city': 0.15,
-            'kauri-build': 0.1,
-            'tauranga-port': 0.08,
-            'wharf-eng': 0.06,
-            'totara': 0.04,
-            'rimu': 0.02,
-        },
-        instances=16,
-        connection_limit=200,
-    )
+    return Plan('nz', _texts('nz'), instances=16, connection_limit=200)
 
 
 @PLANS.register('sk')
@@ -166,24 +103,15 @@
     """The Družstvo Protipožiarna Kontrola Dverí Trnava."""
     return Plan(
         'sk',
-        ('tt-a', 'tt-b', 'ba-a', 'nr-a'),
-        (
-            ServicePlan('certstav', 14, priority='urgent'),
-            ServicePlan('nalezy', 8, idempotent=()),
-            ServicePlan('archiv', 14, priority='bulk'),
-            ServicePlan('harky', 8),
-        ),
-        {
-            'hasici': 0.28,
-            'poistovna-a': 0.25,
-            'poistovna-b': 0.17,
-            'inspekcia-tt': 0.1,
-            'inspekcia-ba': 0.08,
-            'inspekcia-nr': 0.06,
-            'urad': 0.04,
-            'mesto': 0.02,
-        },
+        _texts('sk'),
         instances=17,
         connection_limit=250,
         probe_seconds=0.006,
     )
+
+
+def _texts(name: str) -> dict[str, str]:
+    return {
+        path.stem: path.read_text()
+        for path in sorted((EXAMPLES / name).glob('*.toml'))
+    }
--- a/lab/topology.py
+++ b/lab/topology.py
@@ -140,7 +140,7 @@
 
 
 def new_topology(plan: Plan, instances: int, ports: list[int]) -> Topology:
-    """Spreads a plan over the zones in turn, on free ports."""
+    """Spreads entry instances over the zones in turn, on free ports."""
     left = iter(ports)
     zones = plan.zones
     entries = tuple(
@@ -153,22 +153,19 @@
         )
         for index in range(instances)
     )
+    services = plan.snapshot.services
     upstreams = tuple(
-        UpstreamPlace(
-            f'{service.name}-{index + 1}',
-            service.name,
-            zones[index % len(zones)],
-            next(left),
-        )
-        for service in plan.services
-        for index in range(service.servers)
+        UpstreamPlace(upstream.name, name, upstream.zone, next(left))
+        for name, service in services.items()
+        for upstream in service.upstreams
     )
-    controls = {service.name: next(left) for service in plan.services}
+    controls = {name: next(left) for name in services}
     platform = (next(left), next(left))
     return Topology(plan, entries, upstreams, platform, controls)
 
 
 def ports_needed(plan: Plan, instances: int) -> int:
     """How many ports a topology takes."""
-    upstreams = sum(service.servers for service in plan.services)
-    return 3 * instances + upstreams + len(plan.services) + 2
+    services = plan.snapshot.services
+    upstreams = sum(len(service.upstreams) for service in services.values())
+    return 3 * instances + upstreams + len(services) + 2
--- /dev/null
+++ b/tests/test_lab_documents.py
@@ -0,0 +1,81 @@
+"""Tests of the edits of the document and of where things listen."""
+
+import json
+
+import pytest
+
+from chervilstep.queries.composition import compose
+from chervilstep.queries.document import parse_section
+from lab import documents
+from lab.documents import Limit
+from tests.lab_builders import a_document, a_topology
+
+
+def snapshot_of(texts):
+    contents = {name: parse_section(text) for name, text in texts.items()}
+    return compose(contents).snapshot
+
+
+@pytest.mark.parametrize('name', ['nz', 'sk'])
+def test_the_document_follows_the_topology(name):
+    topology = a_topology(name)
+    snapshot = snapshot_of(a_document(topology, policy='two-choices'))
+    addresses = {
+        upstream.name: upstream.address
+        for service in snapshot.services.values()
+        for upstream in service.upstreams
+    }
+    assert addresses == {
+        place.name: f'127.0.0.1:{place.port}' for place in topology.upstreams
+    }
+    policies = {service.policy for service in snapshot.services.values()}
+    assert policies == {'two-choices'}
+
+
+def test_limits_replace_rate_and_burst():
+    limits = {'fletcher': Limit(7, 3)}
+    customer = snapshot_of(a_document(limits=limits)).customers['fletcher']
+    assert (customer.rate, customer.burst) == (7, 3)
+
+
+def test_a_revoked_customer_has_no_keys():
+    texts = a_document()
+    text = documents.without_keys(texts[documents.CUSTOMERS], 'downer')
+    customers = parse_section(text).customers
+    assert not customers['downer'].digests
+    assert all(
+        customer.digests
+        for name, customer in customers.items()
+        if name != 'downer'
+    )
+
+
+def test_a_zone_and_an_upstream_are_taken_out():
+    texts = a_document()
+    zones = documents.with_zone(texts[documents.ZONES], 'ham', 'withdrawn')
+    services = documents.with_upstream_leaving(
+        texts[documents.SERVICES], 'strike-2'
+    )
+    snapshot = snapshot_of(
+        {**texts, documents.ZONES: zones, documents.SERVICES: services}
+    )
+    assert snapshot.is_withdrawn('ham')
+    leaving = [
+        upstream.name
+        for upstream in snapshot.services['strike'].upstreams
+        if upstream.is_leaving
+    ]
+    assert leaving == ['strike-2']
+
+
+def test_an_edit_that_finds_nothing_is_an_error():
+    with pytest.raises(ValueError, match='nowhere'):
+        documents.with_zone('[zones]\n', 'nowhere', 'withdrawn')
+
+
+def test_the_list_says_who_is_leaving():
+    values = documents.instance_values(
+        a_topology(instances=2), frozenset(['entry-2'])
+    )
+    states = [json.loads(text)['state'] for text in values.values()]
+    assert states == ['live', 'leaving']
--- a/tests/test_lab_platform.py
+++ b/tests/test_lab_platform.py
@@ -1,12 +1,8 @@
-"""Tests of the decisions of the platform stand-in, and of the document."""
-
-import json
-import tomllib
+"""Tests of the decisions of the platform stand-in."""
 
 from lab.commands.platform_faults import PLATFORM_FAULTS
 from lab.queries.values import changed_values, shown_revision, shown_values
-from lab.sections import Limit, document, instance_values
-from tests.lab_builders import a_store, a_topology
+from tests.lab_builders import a_store
 
 
 def test_a_watch_shows_the_last_change_of_each_value():
@@ -31,18 +27,3 @@
     assert shown_revision(store) == 1
     PLATFORM_FAULTS.find('recover')(store, '')
     assert shown_values(store, 'config/')[0].text == 'newer'
-
-
-def test_every_section_is_toml_and_names_every_upstream():
-    topology = a_topology('nz')
-    limits = dict.fromkeys(topology.plan.customers, Limit(10, 5))
-    texts = document(topology, limits, 'two-choices')
-    read = {name: tomllib.loads(text) for name, text in texts.items()}
-    assert len(read['config/strike']['services']['strike']['upstreams']) == 8
-    assert len(read['config/customers']['customers']) == 8
-
-
-def test_the_list_says_who_is_leaving():
-    values = instance_values(a_topology(instances=2), frozenset(['entry-2']))
-    states = [json.loads(text)['state'] for text in values.values()]
-    assert states == ['live', 'leaving']
