--- a/chervilstep/node.py
+++ b/chervilstep/node.py
@@ -10,7 +10,9 @@
 from chervilstep.messages import Outbox
 from chervilstep.relay import Relay
 from chervilstep.settings import Settings
+from chervilstep.shares import Shares
 from chervilstep.snapshot import Snapshot
+from chervilstep.waiting import Waiting
 
 
 @final
@@ -30,6 +32,8 @@
         '_relay',
         '_rng',
         '_settings',
+        '_shares',
+        '_waiting',
     )
 
     def __init__(self, settings: Settings, rng: random.Random) -> None:
@@ -42,6 +46,8 @@
         self._counters = Counters()
         self._outbox = Outbox()
         self._relay = Relay()
+        self._shares = Shares()
+        self._waiting = Waiting()
 
     @property
     def settings(self) -> Settings:
@@ -88,6 +94,16 @@
         """What passes the configuration on between peers."""
         return self._relay
 
+    @property
+    def shares(self) -> Shares:
+        """The customers' tokens that this instance may spend."""
+        return self._shares
+
+    @property
+    def waiting(self) -> Waiting:
+        """The calls that wait for an upstream."""
+        return self._waiting
+
 
 def new_node(settings: Settings, seed: int | None = None) -> Node:
     """Creates the state of an instance; ``seed`` fixes its random numbers."""
--- a/chervilstep/refusals.py
+++ b/chervilstep/refusals.py
@@ -101,6 +101,11 @@
 QUEUE_FULL: Final = new_refusal(
     'queue-full', 503, 'Too many requests wait for this service.'
 )
+QUEUE_TOO_LONG: Final = new_refusal(
+    'queue-too-long',
+    503,
+    'The request would wait until after its deadline.',
+)
 QUEUE_TIMEOUT: Final = new_refusal(
     'queue-timeout', 503, 'No upstream was free before the deadline.'
 )
@@ -146,6 +151,9 @@
 BODY_TOO_LARGE: Final = new_refusal(
     'body-too-large', 413, 'The body of the request is larger than the limit.'
 )
+HEADERS_TOO_LARGE: Final = new_refusal(
+    'headers-too-large', 431, 'The head of the request exceeds the limit.'
+)
 BAD_REQUEST: Final = new_refusal(
     'bad-request', 400, 'The request is not a well-formed HTTP request.'
 )
