--- a/chervilstep/commands/membership.py
+++ b/chervilstep/commands/membership.py
@@ -7,7 +7,7 @@
 from chervilstep.members import Instance
 from chervilstep.messages import EVERY_PEER, Message
 from chervilstep.node import Node
-from chervilstep.queries.load import own_load
+from chervilstep.queries.load import is_ready, own_load
 from chervilstep.types import Instant, new_deadline
 
 #: The time between two heartbeats.
@@ -19,16 +19,17 @@
 @MESSAGES.register('heartbeat')
 @final
 class Heartbeat(Message):
-    """Tells peers that the sender is alive, how loaded, and if leaving."""
+    """Tells peers that the sender is alive, how loaded, and its state."""
 
-    __slots__ = ('_is_leaving', '_load')
+    __slots__ = ('_is_leaving', '_is_ready', '_load')
 
     kind = 'heartbeat'
-    fields = ('load', 'is_leaving')
+    fields = ('load', 'is_ready', 'is_leaving')
 
-    def __init__(self, load: float, is_leaving: bool) -> None:
+    def __init__(self, load: float, is_ready: bool, is_leaving: bool) -> None:
         """Creates a heartbeat; ``load`` is a fraction of the capacity."""
         self._load = load
+        self._is_ready = is_ready
         self._is_leaving = is_leaving
 
     @property
@@ -36,6 +37,11 @@
         """The fraction of its own capacity that the sender uses."""
         return self._load
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether the sender has a configuration to serve by."""
+        return self._is_ready
+
     @property
     def is_leaving(self) -> bool:
         """Whether the sender is stopping."""
@@ -47,7 +53,7 @@
     """Tells every peer that this instance is alive."""
     node.outbox.put(
         EVERY_PEER,
-        Heartbeat(own_load(node, now), node.members.is_leaving),
+        Heartbeat(own_load(node, now), is_ready(node), node.members.is_leaving),
     )
 
 
@@ -59,6 +65,7 @@
     if isinstance(message, Heartbeat):
         node.members.view(sender).hear(
             new_deadline(now, ALIVE_SECONDS),
+            is_ready=message.is_ready,
             is_leaving=message.is_leaving,
             load=message.load,
         )
--- a/chervilstep/members.py
+++ b/chervilstep/members.py
@@ -66,14 +66,20 @@
 class PeerView:
     """What was seen of one peer itself, beside the platform's list."""
 
-    __slots__ = ('_alive_until', '_is_leaving', '_load')
+    __slots__ = ('_alive_until', '_is_leaving', '_is_ready', '_load')
 
     def __init__(self) -> None:
         """Starts as never heard of."""
         self._alive_until: Deadline | None = None
+        self._is_ready = False
         self._is_leaving = False
         self._load = float(0)
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether the peer said that it has a configuration."""
+        return self._is_ready
+
     @property
     def is_leaving(self) -> bool:
         """Whether the peer itself said that it is leaving."""
@@ -91,10 +97,16 @@
         )
 
     def hear(
-        self, alive_until: Deadline, *, is_leaving: bool, load: float
+        self,
+        alive_until: Deadline,
+        *,
+        is_ready: bool,
+        is_leaving: bool,
+        load: float,
     ) -> None:
         """Takes in what a heartbeat says."""
         self._alive_until = alive_until
+        self._is_ready = is_ready
         self._is_leaving = self._is_leaving or is_leaving
         self._load = load
 
--- a/chervilstep/queries/load.py
+++ b/chervilstep/queries/load.py
@@ -1,4 +1,4 @@
-"""How loaded this instance is itself."""
+"""How loaded this instance is itself, and whether it can serve."""
 
 from typing import Final
 
@@ -13,3 +13,8 @@
     """The fraction of this instance's capacity in use, from 0 to 1."""
     in_flight = sum(load.in_flight for load in node.board.loads.values())
     return min(1, in_flight / FULL_LOAD_REQUESTS)
+
+
+def is_ready(node: Node) -> bool:
+    """Whether this instance has a configuration to serve by."""
+    return bool(node.snapshot.routes)
--- a/chervilstep/queries/locator.py
+++ b/chervilstep/queries/locator.py
@@ -5,6 +5,7 @@
 
 from chervilstep.members import Instance
 from chervilstep.node import Node
+from chervilstep.queries.load import is_ready
 from chervilstep.types import Instant
 
 #: How long a caller may keep the answer.
@@ -74,11 +75,11 @@
     if instance.is_leaving or node.snapshot.is_withdrawn(instance.zone):
         return False
     if instance.name == node.members.self_name:
-        return not node.members.is_leaving
+        return is_ready(node) and not node.members.is_leaving
     view = node.members.views.get(instance.name)
     if view is None:
         return False
-    return view.is_alive(now) and not view.is_leaving
+    return view.is_alive(now) and view.is_ready and not view.is_leaving
 
 
 def _draw(node: Node, instance: Instance) -> float:
--- /dev/null
+++ b/chervilstep/queries/settings.py
@@ -0,0 +1,67 @@
+"""Checks the settings of an instance."""
+
+from typing import Final
+
+from chervilstep.exceptions import SettingsError
+from chervilstep.queries.tables import Table, parse_toml
+from chervilstep.settings import (
+    DEFAULT_BODY_LIMIT_BYTES,
+    DEFAULT_HEADER_LIMIT_BYTES,
+    Settings,
+)
+
+#: The names that a settings file may hold.
+SETTING_NAMES: Final = (
+    'name',
+    'zone',
+    'entry_address',
+    'peer_address',
+    'admin_address',
+    'configuration_source',
+    'peer_secret',
+    'body_limit_bytes',
+    'header_limit_bytes',
+)
+MIN_LIMIT_BYTES: Final = 1024
+MAX_BODY_LIMIT_BYTES: Final = 64 * 1024 * 1024
+MAX_HEADER_LIMIT_BYTES: Final = 256 * 1024
+
+
+def parse_settings(text: str) -> Settings:
+    """Makes settings of TOML.
+
+    Raises:
+        SettingsError: Lists every fault, one a line, with its name.
+    """
+    faults: list[str] = []
+    table = Table(parse_toml(text, faults), '', faults)
+    if not faults:
+        table.allow(SETTING_NAMES)
+    settings = _read(table)
+    if faults:
+        raise SettingsError('\n'.join(faults))
+    return settings
+
+
+def _read(table: Table) -> Settings:
+    return Settings(
+        name=table.name('name'),
+        zone=table.name('zone'),
+        entry_address=table.address('entry_address'),
+        peer_address=table.address('peer_address'),
+        admin_address=table.address('admin_address'),
+        configuration_source=table.text('configuration_source'),
+        peer_secret=table.text('peer_secret'),
+        body_limit_bytes=table.integer(
+            'body_limit_bytes',
+            MIN_LIMIT_BYTES,
+            MAX_BODY_LIMIT_BYTES,
+            DEFAULT_BODY_LIMIT_BYTES,
+        ),
+        header_limit_bytes=table.integer(
+            'header_limit_bytes',
+            MIN_LIMIT_BYTES,
+            MAX_HEADER_LIMIT_BYTES,
+            DEFAULT_HEADER_LIMIT_BYTES,
+        ),
+    )
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -74,14 +74,14 @@
 
 
 def test_messages_survive_the_codec():
-    heartbeat = Heartbeat(0.5, is_leaving=True)
+    heartbeat = Heartbeat(0.5, is_ready=True, is_leaving=True)
     frame = codec.encode(heartbeat)
-    assert codec.decode(['heartbeat', 0.5, True]) == heartbeat
-    assert len(frame) == codec.PREFIX_BYTES + 21
+    assert codec.decode(['heartbeat', 0.5, True, True]) == heartbeat
+    assert len(frame) == codec.PREFIX_BYTES + 22
 
 
 @pytest.mark.parametrize(
-    'frame', [[], [1], ['unknown'], ['heartbeat', 1], ['heartbeat', 1, 2, 3]]
+    'frame', [[], [1], ['unknown'], ['heartbeat', 1], ['heartbeat', 1, 2, 3, 4]]
 )
 def test_frames_that_do_not_fit_are_faults(frame):
     with pytest.raises(PeerError):
@@ -92,8 +92,10 @@
     async def scenario():
         async with a_fleet('a') as fleet:
             node = fleet.nodes['a']
-            node.outbox.put('b', Heartbeat(0, is_leaving=False))
-            node.outbox.put(EVERY_PEER, Heartbeat(0, is_leaving=False))
+            node.outbox.put('b', Heartbeat(0, is_ready=True, is_leaving=False))
+            node.outbox.put(
+                EVERY_PEER, Heartbeat(0, is_ready=True, is_leaving=False)
+            )
             await asyncio.sleep(0)
             await asyncio.sleep(0)
             assert node.counters.total('peer_messages_unsent') == 1
