Add the load and experiment tool

Cause: decisions about policies need one instrument that runs real entry processes under load and faults and checks every request by its id.

Latency counts from the intended send time; the same request takes equally long under each policy.

Ruled out: one generator process, whose own queue would show in the tail; redrawing service times in each turn, which would compare different work.

--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -3,14 +3,25 @@
 import asyncio
 import json
 import pathlib
+import shutil
 import sys
+import tempfile
+import time
 
 import defopt
 import uvloop
 
+from lab.control import new_upstreams, serve_upstreams
 from lab.demo import run_demo
+from lab.deployment import Deployment, new_deployment
+from lab.experiment import Bench, Trial, measure
+from lab.generate import generate as generate_part
+from lab.measures import Measures
+from lab.plans import PLANS
 from lab.platform import serve_platform
-from lab.upstream import new_upstreams, serve_upstreams
+from lab.processes import Processes
+
+OUT = pathlib.Path(__file__).parent / 'out'
 
 
 def demo() -> int:
@@ -18,6 +29,97 @@
     return run_demo()
 
 
+def experiment(
+    *,
+    deployment: str = 'nz',
+    policies: list[str] | None = None,
+    faults: list[str] | None = None,
+    load: float = 0.7,
+    rate: float = 800,
+    seconds: float = 20,
+    rounds: int = 1,
+    instances: int = 0,
+    seed: int = 1,
+) -> int:
+    """Compare policies under faults and print the measures.
+
+    :param deployment: nz or sk
+    :param policies: policies of services that take turns; "default" is the
+        one of the document
+    :param faults: scenarios, as docs/LAB.md lists them
+    :param load: the part of all slots in use
+    :param rate: requests a second over all customers
+    :param seconds: how long one turn sends requests
+    :param rounds: how many turns each policy gets under each fault
+    :param instances: entry instances; 0 means as many as the brief says
+    :param seed: fixes the arrivals and the service times
+    """
+    # The plots' library starts slowly; the processes do without it.
+    from lab.report import describe, print_summary, write_report
+
+    plan = PLANS.find(deployment)()
+    trial = Trial(
+        plan,
+        ['' if name == 'default' else name for name in policies or ['']],
+        faults or ['none'],
+        load=load,
+        rate=rate,
+        seconds=seconds,
+        rounds=rounds,
+        seed=seed,
+    )
+    print(describe(trial))
+    with tempfile.TemporaryDirectory() as name:
+        folder = pathlib.Path(name)
+        with Processes(folder) as processes:
+            started = new_deployment(
+                plan, instances or plan.instances, processes, folder
+            )
+            bench = Bench(trial, started, folder)
+            try:
+                measured = uvloop.run(_run(bench, started))
+            finally:
+                _keep_logs(folder)
+    print_summary(measured)
+    target = OUT / time.strftime(f'{deployment}-%Y%m%d-%H%M%S')
+    print(f'\nWrote {write_report(target, trial, bench, measured)}.')
+    clean = all(
+        measures.checks.are_clean
+        for by_policy in measured.values()
+        for measures in by_policy.values()
+    )
+    return 0 if clean else 1
+
+
+async def _run(
+    bench: Bench, deployment: Deployment
+) -> dict[str, dict[str, Measures]]:
+    await bench.start()
+    await bench.run()
+    return await measure(bench, deployment)
+
+
+def _keep_logs(folder: pathlib.Path) -> None:
+    """Keeps what the processes wrote, for looking into faults."""
+    target = OUT / 'logs'
+    shutil.rmtree(target, ignore_errors=True)
+    target.mkdir(parents=True)
+    for log in folder.glob('*.log'):
+        if log.stat().st_size:
+            shutil.copy(log, target)
+
+
+def generate(spec: str, target: str) -> int:
+    """Send a part of the load of one turn.
+
+    :param spec: path of a JSON file, as lab/experiment.py writes it
+    :param target: where the rows go
+    """
+    read = json.loads(pathlib.Path(spec).read_text())
+    uvloop.run(generate_part(read, pathlib.Path(target)))
+    return 0
+
+
 def upstream(spec: str) -> int:
     """Serve the upstreams that a specification lists.
 
@@ -43,7 +145,7 @@
 
 def main() -> int:
     """Runs the command that the arguments name."""
-    status: int = defopt.run([demo, upstream, platform])
+    status: int = defopt.run([demo, experiment, generate, upstream, platform])
     return status
 
 
--- a/lab/caller.py
+++ b/lab/caller.py
@@ -1,5 +1,6 @@
 """A caller of the deployment: it asks the locator, keeps the answer, calls."""
 
+import asyncio
 import json
 import random
 import time
@@ -15,6 +16,10 @@
 #: How long a caller waits beyond its deadline before it gives up.
 GRACE_SECONDS: Final = 2
 LOCATOR_SECONDS: Final = 1
+#: The part of the time of the locator's answer after which it is renewed.
+RENEW_PART: Final = 0.8
+#: How many addresses are tried that the caller knew from the start.
+SEEDS_ASKED: Final = 3
 LOCATOR: Final = '/chervilstep/addresses'
 _MS: Final = 1000
 
@@ -112,7 +117,15 @@
 class Caller:
     """One caller of one customer."""
 
-    __slots__ = ('_addresses', '_client', '_keep_until', '_rng', '_seeds')
+    __slots__ = (
+        '_addresses',
+        '_asking',
+        '_client',
+        '_keep_until',
+        '_renew_at',
+        '_rng',
+        '_seeds',
+    )
 
     def __init__(
         self, seeds: tuple[str, ...], client: Client, rng: random.Random
@@ -123,6 +136,8 @@
         self._rng = rng
         self._addresses: tuple[str, ...] = ()
         self._keep_until = float('-inf')
+        self._renew_at = float('-inf')
+        self._asking: asyncio.Task[None] | None = None
 
     @property
     def addresses(self) -> tuple[str, ...]:
@@ -130,13 +145,13 @@
         return self._addresses
 
     async def refresh(self, now: Instant) -> None:
-        """Asks the locator again once the answer may not be kept longer."""
-        if now < self._keep_until:
+        """Asks the locator again, in time to wait for it rarely."""
+        if now < self._renew_at:
             return
-        known = [*self._addresses, *self._rng.sample(self._seeds, 3)]
-        for address in known:
-            if await self._ask(address, now):
-                return
+        if self._asking is None or self._asking.done():
+            self._asking = asyncio.create_task(self._ask_any(now))
+        if now >= self._keep_until:
+            await self._asking
 
     async def send(
         self, request: Request, seconds: float, key: str | None = None
@@ -149,6 +164,7 @@
             except NotSent:
                 continue
             except NoAnswer:
+                self._avoid(address)
                 return _failed(NO_ANSWER)
             return _judge(request, response)
         return _failed(NOT_SENT)
@@ -172,6 +188,20 @@
             seconds=seconds + GRACE_SECONDS,
         )
 
+    async def _ask_any(self, now: Instant) -> None:
+        count = min(len(self._seeds), SEEDS_ASKED)
+        for address in (
+            *self._addresses,
+            *self._rng.sample(self._seeds, count),
+        ):
+            if await self._ask(address, now):
+                return
+
+    def _avoid(self, address: str) -> None:
+        """Tries an address last that left a request without an answer."""
+        others = [other for other in self._addresses if other != address]
+        self._addresses = (*others, address)
+
     async def _ask(self, address: str, now: Instant) -> bool:
         try:
             response = await self._client.send(
@@ -183,7 +213,9 @@
             return False
         answer: dict[str, Any] = json.loads(response.body)
         self._addresses = tuple(answer['addresses'])
-        self._keep_until = now + answer['keep_ms'] / _MS
+        keep_seconds = answer['keep_ms'] / _MS
+        self._keep_until = now + keep_seconds
+        self._renew_at = now + keep_seconds * RENEW_PART
         return bool(self._addresses)
 
 
--- a/lab/demo.py
+++ b/lab/demo.py
@@ -92,11 +92,12 @@
     meetings = [await _meet(caller, step) for step in _new_steps(deployment)]
     client.close()
     counts = await deployment.upstream_counts()
+    runs = await deployment.runs()
     seconds = time.monotonic() - started_at
     proper = sum(meetings)
     print(f'{proper} of {len(meetings)} calls met what they should, ', end='')
-    print(f'in {seconds:.1f} s; the upstreams ran {len(counts.runs)}.')
-    twice = [name for name, runs in counts.runs.items() if runs > 1]
+    print(f'in {seconds:.1f} s; the upstreams ran {len(runs)}.')
+    twice = [name for name, count in runs.items() if count > 1]
     keys_seen = counts.total('keys_seen')
     print(f'Ran twice: {len(twice)}. Keys that reached them: {keys_seen}.')
     is_proper = proper == len(meetings) and not twice and not keys_seen
--- a/lab/deployment.py
+++ b/lab/deployment.py
@@ -28,7 +28,7 @@
 class Deployment:
     """A deployment whose processes run, and the orders to its stand-ins."""
 
-    __slots__ = ('_folder', '_processes', '_topology')
+    __slots__ = ('_entries', '_folder', '_processes', '_topology')
 
     def __init__(
         self, topology: Topology, processes: Processes, folder: pathlib.Path
@@ -37,6 +37,12 @@
         self._topology = topology
         self._processes = processes
         self._folder = folder
+        self._entries = list(topology.entries)
+
+    @property
+    def entries(self) -> tuple[EntryPlace, ...]:
+        """The entry instances that belong to the deployment now."""
+        return tuple(self._entries)
 
     @property
     def topology(self) -> Topology:
@@ -91,6 +97,23 @@
             place.name, 'chervilstep', 'serve', '--settings', str(settings)
         )
 
+    async def replace_entry(self, place: EntryPlace) -> None:
+        """Starts an instance of a new name in the place of an ended one."""
+        replaced = place.renamed(f'{place.name}r')
+        self._entries[self._entries.index(place)] = replaced
+        self.start_entry(replaced)
+        await self.put(
+            {
+                **instance_values([replaced]),
+                f'instances/{place.name}': None,
+            }
+        )
+        await _wait_for(replaced.address, _LOCATOR)
+
+    def instance_values(self) -> dict[str, str]:
+        """The list of instances as values of the platform."""
+        return instance_values(self._entries)
+
     async def put(self, values: Mapping[str, str | None]) -> None:
         """Sets values of the platform."""
         await order(self._topology.platform_control, '/control/put', values)
@@ -118,36 +141,29 @@
     async def upstream_counts(self) -> 'UpstreamCounts':
         """What all upstreams counted."""
         counts: dict[str, dict[str, int]] = {}
+        for port in self._topology.control_ports.values():
+            counts.update(
+                await order(f'127.0.0.1:{port}', '/control/counts', None)
+            )
+        return UpstreamCounts(counts)
+
+    async def runs(self) -> dict[str, int]:
+        """How often each request was started, by its id."""
         runs: dict[str, int] = {}
         for port in self._topology.control_ports.values():
-            answer = await order(f'127.0.0.1:{port}', '/control/counts', None)
-            counts.update(answer['upstreams'])
-            runs.update(answer['runs'])
-        return UpstreamCounts(counts, runs)
+            runs.update(await order(f'127.0.0.1:{port}', '/control/runs', None))
+        return runs
 
 
 @final
 class UpstreamCounts:
     """What the upstreams counted since they were started."""
 
-    __slots__ = ('_by_upstream', '_runs')
+    __slots__ = ('_by_upstream',)
 
-    def __init__(
-        self, by_upstream: dict[str, dict[str, int]], runs: dict[str, int]
-    ) -> None:
-        """Creates the counts; ``runs`` are by request id."""
+    def __init__(self, by_upstream: dict[str, dict[str, int]]) -> None:
+        """Creates the counts by the name of the upstream."""
         self._by_upstream = by_upstream
-        self._runs = runs
-
-    @property
-    def by_upstream(self) -> dict[str, dict[str, int]]:
-        """The counts of each upstream."""
-        return self._by_upstream
-
-    @property
-    def runs(self) -> dict[str, int]:
-        """How often each request was started."""
-        return self._runs
 
     def total(self, what: str) -> int:
         """One count over all upstreams."""
@@ -169,7 +185,7 @@
     """Writes the whole document and the list of instances."""
     values: dict[str, str | None] = {
         **section_values(document(deployment.topology, limits, policy)),
-        **instance_values(deployment.topology),
+        **instance_values(deployment.entries),
     }
     await deployment.put(values)
 
--- a/lab/documents.py
+++ b/lab/documents.py
@@ -6,10 +6,10 @@
 
 import json
 import re
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Final, final
 
-from lab.topology import Topology
+from lab.topology import EntryPlace, Topology
 
 SERVICES: Final = 'services'
 ZONES: Final = 'zones'
@@ -116,7 +116,7 @@
 
 
 def instance_values(
-    topology: Topology, leaving: frozenset[str] = frozenset()
+    places: Iterable[EntryPlace], leaving: frozenset[str] = frozenset()
 ) -> dict[str, str]:
     """The list of entry instances, as values of the platform."""
     return {
@@ -128,7 +128,7 @@
                 'state': 'leaving' if place.name in leaving else 'live',
             }
         )
-        for place in topology.entries
+        for place in places
     }
 
 
--- /dev/null
+++ b/lab/generate.py
@@ -0,0 +1,123 @@
+"""Sends a part of a turn's load: open loop, at the intended times."""
+
+import asyncio
+import gc
+import json
+import pathlib
+import random
+import time
+from typing import Any, Final, final
+
+from chervilstep.types import Instant
+from lab.arrivals import Arrival, Record, Row, row_of
+from lab.caller import Caller, Meeting
+from lab.client import Client
+from lab.plans import PLANS
+from lab.queries.demands import ANYONE, Turn, arrivals_of
+
+#: Requests under way at once; more than that are not sent, and counted.
+OUTSTANDING_LIMIT: Final = 3000
+OVERRUN: Final = 'generator-overrun'
+#: The deadline of requests beyond which callers want no answer.
+CALL_SECONDS: Final = 2
+
+
+@final
+class Generator:
+    """The callers of one process, and what their requests met."""
+
+    __slots__ = ('_addresses', '_callers', '_rows', '_seed', '_start_at')
+
+    def __init__(
+        self, addresses: tuple[str, ...], start_at: Instant, seed: int
+    ) -> None:
+        """Creates a generator for a turn that starts at ``start_at``."""
+        self._addresses = addresses
+        self._start_at = start_at
+        self._seed = seed
+        self._callers: dict[tuple[str, int], Caller] = {}
+        self._rows: list[Row] = []
+
+    @property
+    def rows(self) -> list[Row]:
+        """What the requests met."""
+        return self._rows
+
+    async def run(self, arrivals: list[Arrival]) -> None:
+        """Sends every arrival at its time and waits for what comes of it."""
+        await self._warm_up(arrivals)
+        outstanding: set[asyncio.Task[None]] = set()
+        for arrival in arrivals:
+            delay = self._start_at + arrival.at - time.monotonic()
+            if delay > 0:
+                await asyncio.sleep(delay)
+            if len(outstanding) >= OUTSTANDING_LIMIT:
+                failed = Meeting(0, reason=OVERRUN, verdict='', upstream='')
+                self._record(arrival, failed, 0)
+                continue
+            task = asyncio.create_task(self._send(arrival))
+            outstanding.add(task)
+            task.add_done_callback(outstanding.discard)
+        if outstanding:
+            await asyncio.wait(outstanding)
+
+    async def _warm_up(self, arrivals: list[Arrival]) -> None:
+        """Lets every caller ask the locator before the turn starts."""
+        callers = {self._caller(arrival) for arrival in arrivals}
+        now = time.monotonic()
+        await asyncio.gather(*(caller.refresh(now) for caller in callers))
+
+    async def _send(self, arrival: Arrival) -> None:
+        lateness = time.monotonic() - self._start_at - arrival.at
+        key = '' if arrival.request.customer == ANYONE else None
+        meeting = await self._caller(arrival).send(
+            arrival.request, CALL_SECONDS, key
+        )
+        self._record(arrival, meeting, lateness)
+
+    def _record(
+        self, arrival: Arrival, meeting: Meeting, lateness: float
+    ) -> None:
+        record = Record(
+            arrival.request.request_id,
+            arrival.request.customer,
+            arrival.route,
+            is_idempotent=arrival.is_idempotent,
+            at=arrival.at,
+            lateness=lateness,
+            latency=time.monotonic() - self._start_at - arrival.at,
+            meeting=meeting,
+        )
+        self._rows.append(row_of(record))
+
+    def _caller(self, arrival: Arrival) -> Caller:
+        place = (arrival.request.customer, arrival.caller)
+        found = self._callers.get(place)
+        if found is None:
+            rng = random.Random(f'{self._seed} {place}')
+            found = Caller(self._addresses, Client(), rng)
+            self._callers[place] = found
+        return found
+
+
+async def generate(spec: dict[str, Any], target: pathlib.Path) -> None:
+    """Runs one part of a turn and writes its rows to ``target``."""
+    turn = Turn(
+        PLANS.find(spec['plan'])(),
+        spec['turn'],
+        rate=spec['rate'],
+        seconds=spec['seconds'],
+        seed=spec['seed'],
+        fault=spec['fault'],
+    )
+    mine = [
+        arrival
+        for arrival in arrivals_of(turn)
+        if arrival.caller % spec['parts'] == spec['part']
+    ]
+    gc.freeze()
+    generator = Generator(
+        tuple(spec['addresses']), spec['start_at'], spec['seed']
+    )
+    await generator.run(mine)
+    target.write_text(json.dumps(generator.rows))
--- a/lab/processes.py
+++ b/lab/processes.py
@@ -1,5 +1,6 @@
 """Starts processes of this machine and ends exactly those, by their ids."""
 
+import asyncio
 import os
 import pathlib
 import signal
@@ -67,6 +68,16 @@
         if child.poll() is None:
             child.send_signal(number)
 
+    async def ended(self, name: str, seconds: float) -> None:
+        """Waits for one child to end.
+
+        Raises:
+            TimeoutError: It still runs after ``seconds``.
+        """
+        async with asyncio.timeout(seconds):
+            while self._children[name].poll() is None:
+                await asyncio.sleep(_POLL_SECONDS)
+
     def end_all(self) -> None:
         """Asks every child to stop and kills those that do not."""
         for name in self._children:
--- a/lab/queries/capacity.py
+++ b/lab/queries/capacity.py
@@ -15,6 +15,8 @@
 COLLAPSE: Final = 6
 #: A cold upstream that is not overloaded takes this much longer.
 COLD_SLOWDOWN: Final = 1.5
+#: Ends the part of a request id that does not change its service time.
+TURN_MARK: Final = '~'
 _HASH_SPAN: Final = 2**64
 _NORMAL: Final = statistics.NormalDist()
 
@@ -55,7 +57,8 @@
 
 
 def _drawn_seconds(server: Server, request_id: str) -> float:
-    drawn = xxhash.xxh64_intdigest(request_id.encode(), seed=server.traits.seed)
+    work = request_id.rpartition(TURN_MARK)[2]
+    drawn = xxhash.xxh64_intdigest(work.encode(), seed=server.traits.seed)
     share = (drawn + 1) / (_HASH_SPAN + 2)
     scale = math.exp(SIGMA * _NORMAL.inv_cdf(share) - SIGMA * SIGMA / 2)
     return server.traits.mean_seconds * scale
--- a/lab/topology.py
+++ b/lab/topology.py
@@ -46,6 +46,12 @@
         """Where operators connect to."""
         return f'127.0.0.1:{self._admin_port}'
 
+    def renamed(self, name: str) -> 'EntryPlace':
+        """The same place under the name of a replacement."""
+        return EntryPlace(
+            name, self._zone, self._port, self._peer_port, self._admin_port
+        )
+
 
 @final
 class UpstreamPlace:
--- a/lab/upstream.py
+++ b/lab/upstream.py
@@ -6,186 +6,26 @@
 
 import asyncio
 import collections
-import json
 import time
-from collections.abc import Iterable
 from typing import Any, Final, final
 
-import xxhash
-from tornado import httputil, web
+from tornado import httputil
 from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import IOStream
 from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
 
 from chervilstep.types import Instant
 from lab import headers as names
 from lab.commands.faults import FAULTS
+from lab.exchange import Exchange
 from lab.queries.capacity import service_seconds, state_name
-from lab.servers import Server, Traits
+from lab.servers import Server
 
 #: How long an upstream takes to open a connection.
 OPEN_SECONDS: Final = 0.001
 DEFAULT_CONNECTION_LIMIT: Final = 250
 _LOOPBACK: Final = '127.0.0.1'
-_REASONS: Final = {200: 'OK', 500: 'Error', 503: 'Shed', 504: 'Late'}
-_MS: Final = 1000
-
-
-@final
-class Exchange(httputil.HTTPMessageDelegate):
-    """One request at an upstream, from its head to its answer."""
-
-    __slots__ = (
-        '_body',
-        '_connection',
-        '_deadline_at',
-        '_headers',
-        '_is_open',
-        '_is_running',
-        '_opened_at',
-        '_target',
-        '_timer',
-        '_upstream',
-    )
-
-    def __init__(
-        self,
-        upstream: 'Upstream',
-        connection: HTTP1Connection,
-        opened_at: Instant,
-    ) -> None:
-        """Starts to read; ``opened_at`` is when its connection was opened."""
-        self._upstream = upstream
-        self._connection = connection
-        self._opened_at = opened_at
-        self._headers = httputil.HTTPHeaders()
-        self._target = ''
-        self._body = bytearray()
-        self._deadline_at = float('inf')
-        self._timer: asyncio.TimerHandle | None = None
-        self._is_open = True
-        self._is_running = False
-
-    @property
-    def target(self) -> str:
-        """The path with its query string."""
-        return self._target
-
-    @property
-    def opened_at(self) -> Instant:
-        """When the connection was opened."""
-        return self._opened_at
-
-    @property
-    def deadline_at(self) -> Instant:
-        """When the caller no longer wants an answer."""
-        return self._deadline_at
-
-    @property
-    def request_id(self) -> str:
-        """The id that the caller gave the request."""
-        return self._headers.get(names.REQUEST_ID, '')
-
-    @property
-    def carries_key(self) -> bool:
-        """Whether a key came through, which must never happen."""
-        return any(name in self._headers for name in names.KEYS)
-
-    @property
-    def is_open(self) -> bool:
-        """Whether an answer is still wanted."""
-        return self._is_open
-
-    @property
-    def is_running(self) -> bool:
-        """Whether the exchange holds a slot."""
-        return self._is_running
-
-    def headers_received(
-        self,
-        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
-        headers: httputil.HTTPHeaders,
-    ) -> None:
-        """Takes the head in."""
-        assert isinstance(start_line, httputil.RequestStartLine)
-        self._headers = headers
-        self._target = start_line.path
-        allowed_ms = headers.get(names.DEADLINE)
-        if allowed_ms:
-            self._deadline_at = time.monotonic() + float(allowed_ms) / _MS
-
-    def data_received(self, chunk: bytes) -> None:
-        """Takes a part of the body in."""
-        self._body += chunk
-
-    def finish(self) -> None:
-        """Hands the whole request to the upstream."""
-        self._connection.set_close_callback(self._abandon)
-        self._upstream.take(self)
-
-    def on_connection_close(self) -> None:
-        """Forgets a request whose caller went away while sending."""
-        self._abandon()
-
-    def wait(self, seconds: float, status: int) -> None:
-        """Answers after some time, but not after the deadline."""
-        left = self._deadline_at - time.monotonic()
-        if left < seconds:
-            seconds, status = max(0, left), 504
-        self._timer = asyncio.get_running_loop().call_later(
-            seconds, self._upstream.end, self, status
-        )
-
-    def start(self) -> None:
-        """Notes that the exchange holds a slot."""
-        self._is_running = True
-
-    def stop(self) -> None:
-        """Notes that the exchange holds no slot any more."""
-        self._is_running = False
-        self._cancel_timer()
-
-    def answer(self, status: int, data: dict[str, Any], *more: str) -> None:
-        """Sends the answer; ``more`` are names of headers with value 1."""
-        if not self._is_open:
-            return
-        self._is_open = False
-        text = json.dumps(data).encode()
-        headers = httputil.HTTPHeaders(
-            {
-                'Content-Type': 'application/json',
-                'Content-Length': str(len(text)),
-            }
-        )
-        if self.request_id:
-            headers[names.REQUEST_ID] = self.request_id
-        for name in more:
-            headers[name] = '1'
-        line = httputil.ResponseStartLine('HTTP/1.1', status, _REASONS[status])
-        try:
-            self._connection.write_headers(line, headers, text)
-            self._connection.finish()
-        except StreamClosedError:
-            return
-
-    def echo(self, name: str) -> dict[str, Any]:
-        """The body of an answer, which shows whose answer it is."""
-        return {
-            'request_id': self.request_id,
-            'upstream': name,
-            'body_digest': xxhash.xxh64_hexdigest(bytes(self._body)),
-        }
-
-    def _cancel_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-
-    def _abandon(self) -> None:
-        if self._is_open:
-            self._is_open = False
-            self._upstream.cancel(self)
 
 
 @final
@@ -380,73 +220,3 @@
 
     def handle_stream(self, stream: IOStream, address: Any) -> None:
         self._upstream.accept(stream, address)
-
-
-@final
-class FaultHandler(web.RequestHandler):
-    """Brings faults about: ``upstreams``, ``fault`` and ``argument``."""
-
-    def initialize(self, upstreams: list[Upstream]) -> None:
-        """Takes the upstreams of the process."""
-        self._upstreams = upstreams
-
-    def post(self) -> None:
-        """Applies one fault to the upstreams that are named."""
-        order = json.loads(self.request.body)
-        for upstream in self._upstreams:
-            if upstream.server.traits.name in order['upstreams']:
-                upstream.apply(order['fault'], str(order.get('argument', '')))
-        self.finish({})
-
-
-@final
-class CountsHandler(web.RequestHandler):
-    """Reads out what the upstreams counted."""
-
-    def initialize(self, upstreams: list[Upstream]) -> None:
-        """Takes the upstreams of the process."""
-        self._upstreams = upstreams
-
-    def get(self) -> None:
-        """Gives the counts of each upstream, and the runs of each request."""
-        runs: collections.Counter[str] = collections.Counter()
-        for upstream in self._upstreams:
-            runs.update(upstream.server.runs)
-        counts = {
-            upstream.server.traits.name: upstream.server.counts
-            for upstream in self._upstreams
-        }
-        self.finish({'upstreams': counts, 'runs': runs})
-
-
-def new_upstreams(
-    ports: dict[str, int], traits: dict[str, Any], connection_limit: int
-) -> list[Upstream]:
-    """Creates upstreams of equal traits by name and port."""
-    return [
-        Upstream(Server(Traits(name, **traits)), port, connection_limit)
-        for name, port in ports.items()
-    ]
-
-
-async def serve_upstreams(
-    upstreams: Iterable[Upstream], control_port: int
-) -> None:
-    """Serves until the process is ended."""
-    hosted = list(upstreams)
-    for upstream in hosted:
-        upstream.listen_again()
-    shared = {'upstreams': hosted}
-    control = web.Application(
-        [
-            ('/control/fault', FaultHandler, shared),
-            ('/control/counts', CountsHandler, shared),
-        ],
-        log_function=_ignore,
-    )
-    control.listen(control_port, _LOOPBACK)
-    await asyncio.Event().wait()
-
-
-def _ignore(handler: web.RequestHandler) -> None:
-    """Keeps the access log empty."""
--- a/tests/lab_builders.py
+++ b/tests/lab_builders.py
@@ -1,8 +1,15 @@
 """Builders of test data for the tests of the lab."""
 
+from typing import Any
+
+from lab.arrivals import Record
+from lab.caller import Meeting
 from lab.documents import document
 from lab.plans import PLANS
+from lab.queries.demands import Turn
+from lab.queries.measuring import TurnResult
 from lab.servers import Server, Traits
+from lab.stage import Mark
 from lab.store import Store
 from lab.topology import new_topology, ports_needed
 
@@ -28,3 +35,42 @@
 
 def a_document(topology=None, limits=None, policy=''):
     return document(topology or a_topology(), limits or {}, policy)
+
+
+def a_record(request_id='a', at=0, **changes):
+    status = changes.pop('status', 200)
+    meeting = Meeting(
+        status,
+        reason=changes.pop('reason', ''),
+        verdict=changes.pop('verdict', ''),
+        upstream=changes.pop('upstream', ''),
+    )
+    options: dict[str, Any] = {
+        'customer': 'fletcher',
+        'route': 'strike',
+        'is_idempotent': False,
+        'lateness': 0,
+        'latency': 0.01,
+    }
+    options.update(changes)
+    return Record(request_id, at=at, meeting=meeting, **options)
+
+
+def a_refusal(request_id='a', at=0, reason='rate-exceeded', **changes):
+    changes.setdefault('verdict', 'not-run')
+    return a_record(request_id, at, status=503, reason=reason, **changes)
+
+
+def a_result(*records, marks=()):
+    return TurnResult(records, [Mark(at, text) for at, text in marks], {})
+
+
+def a_turn(name='t1', seconds=5, rate=200, seed=1, fault='none', plan='nz'):
+    return Turn(
+        PLANS.find(plan)(),
+        name,
+        rate=rate,
+        seconds=seconds,
+        seed=seed,
+        fault=fault,
+    )
--- a/tests/test_lab_documents.py
+++ b/tests/test_lab_documents.py
@@ -75,7 +75,7 @@
 
 def test_the_list_says_who_is_leaving():
     values = documents.instance_values(
-        a_topology(instances=2), frozenset(['entry-2'])
+        a_topology(instances=2).entries, frozenset(['entry-2'])
     )
     states = [json.loads(text)['state'] for text in values.values()]
     assert states == ['live', 'leaving']
