--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -20,6 +20,8 @@
 from lab.plans import PLANS
 from lab.platform import serve_platform
 from lab.processes import Processes
+from lab.scaled import new_scaled_plan
+from lab.slopes import idle_cost, print_cost
 
 OUT = pathlib.Path(__file__).parent / 'out'
 
@@ -109,6 +111,34 @@
             shutil.copy(log, target)
 
 
+def slopes(
+    instances: list[int],
+    *,
+    services: int = 4,
+    servers: int = 36,
+    customers: int = 8,
+    seconds: float = 20,
+) -> int:
+    """Measure what an idle instance costs in deployments of several sizes.
+
+    :param instances: numbers of entry instances, one size each
+    :param services: how many services the document has
+    :param servers: how many upstreams it has
+    :param customers: how many customers it has
+    :param seconds: how long each size is watched
+    """
+    for count in instances:
+        plan = new_scaled_plan(count, services, servers, customers)
+        with tempfile.TemporaryDirectory() as name:
+            folder = pathlib.Path(name)
+            with Processes(folder) as processes:
+                started = new_deployment(plan, count, processes, folder)
+                cost = uvloop.run(idle_cost(started, seconds))
+        label = f'{count} instances, {services} services, {servers} servers'
+        print_cost(f'{label}, {customers} customers', cost)
+    return 0
+
+
 def generate(spec: str, target: str) -> int:
     """Send a part of the load of one turn.
 
@@ -145,7 +175,9 @@
 
 def main() -> int:
     """Runs the command that the arguments name."""
-    status: int = defopt.run([demo, experiment, generate, upstream, platform])
+    status: int = defopt.run(
+        [demo, experiment, slopes, generate, upstream, platform]
+    )
     return status
 
 
--- a/lab/commands/scenarios.py
+++ b/lab/commands/scenarios.py
@@ -224,7 +224,7 @@
     topology = stage.deployment.topology
     return tuple(
         place.name
-        for service in topology.control_ports
+        for service in topology.plan.snapshot.services
         for place in topology.upstreams_of(service)[:count]
     )
 
--- a/lab/deployment.py
+++ b/lab/deployment.py
@@ -66,16 +66,16 @@
             str(topology.platform_port),
             topology.platform_control.partition(':')[2],
         )
-        for service in topology.control_ports:
-            spec = self._folder / f'{service}.json'
+        for host in topology.control_ports:
+            spec = self._folder / f'{host}.json'
             spec.write_text(
                 json.dumps(
                     _upstream_spec(
-                        topology, service, mean_seconds, cold_seconds, seed
+                        topology, host, mean_seconds, cold_seconds, seed
                     )
                 )
             )
-            self._processes.start(service, 'lab', 'upstream', str(spec))
+            self._processes.start(host, 'lab', 'upstream', str(spec))
         await _wait_for(topology.platform_control, '/control/calls')
         for port in topology.control_ports.values():
             await _wait_for(f'127.0.0.1:{port}', '/control/counts')
@@ -192,25 +192,23 @@
 
 def _upstream_spec(
     topology: Topology,
-    service: str,
+    host: str,
     mean_seconds: float,
     cold_seconds: float,
     seed: int,
 ) -> dict[str, Any]:
     plan = topology.plan
     return {
-        'ports': {
-            place.name: place.port for place in topology.upstreams_of(service)
-        },
+        'ports': {place.name: place.port for place in topology.hosted_by(host)},
         'traits': {
-            'slots': plan.snapshot.services[service].upstreams[0].slots,
+            'slots': plan.slots_of_each,
             'mean_seconds': mean_seconds,
             'cold_seconds': cold_seconds,
             'probe_seconds': plan.probe_seconds,
             'seed': seed,
         },
         'connection_limit': plan.connection_limit,
-        'control_port': topology.control_ports[service],
+        'control_port': topology.control_ports[host],
     }
 
 
--- a/lab/plans.py
+++ b/lab/plans.py
@@ -78,6 +78,12 @@
         """How long a load report holds a slot of an upstream."""
         return self._probe_seconds
 
+    @property
+    def slots_of_each(self) -> int:
+        """The slots of one upstream, which are equal everywhere."""
+        service = next(iter(self._snapshot.services.values()))
+        return service.upstreams[0].slots
+
     @property
     def slots(self) -> int:
         """The slots of all upstreams together."""
--- a/lab/topology.py
+++ b/lab/topology.py
@@ -1,9 +1,12 @@
 """Where everything of one deployment listens, and who may call at what rate."""
 
-from typing import final
+from typing import Final, final
 
 from lab.plans import Plan
 
+#: The processes over which the services' upstreams are spread.
+HOSTS: Final = 4
+
 
 @final
 class EntryPlace:
@@ -57,13 +60,16 @@
 class UpstreamPlace:
     """The name, zone and port of one upstream."""
 
-    __slots__ = ('_name', '_port', '_service', '_zone')
+    __slots__ = ('_host', '_name', '_port', '_service', '_zone')
 
-    def __init__(self, name: str, service: str, zone: str, port: int) -> None:
-        """Creates the place of an upstream."""
+    def __init__(
+        self, name: str, service: str, zone: str, host: str, port: int
+    ) -> None:
+        """Creates the place of an upstream in the process ``host``."""
         self._name = name
         self._service = service
         self._zone = zone
+        self._host = host
         self._port = port
 
     @property
@@ -81,6 +87,11 @@
         """Its availability zone."""
         return self._zone
 
+    @property
+    def host(self) -> str:
+        """The process that it shares with others."""
+        return self._host
+
     @property
     def port(self) -> int:
         """Where it listens."""
@@ -101,7 +112,7 @@
         platform: tuple[int, int],
         controls: dict[str, int],
     ) -> None:
-        """Creates a topology; ``controls`` are ports by service."""
+        """Creates a topology; ``controls`` are ports by host."""
         self._plan = plan
         self._entries = entries
         self._upstreams = upstreams
@@ -135,9 +146,13 @@
 
     @property
     def control_ports(self) -> dict[str, int]:
-        """The control port of each service's upstream process."""
+        """The control port of each process that hosts upstreams."""
         return self._controls
 
+    def hosted_by(self, host: str) -> tuple[UpstreamPlace, ...]:
+        """The upstreams that share one process."""
+        return tuple(place for place in self._upstreams if place.host == host)
+
     def upstreams_of(self, service: str) -> tuple[UpstreamPlace, ...]:
         """The upstreams of one service."""
         return tuple(
@@ -161,11 +176,17 @@
     )
     services = plan.snapshot.services
     upstreams = tuple(
-        UpstreamPlace(upstream.name, name, upstream.zone, next(left))
-        for name, service in services.items()
+        UpstreamPlace(
+            upstream.name,
+            service.name,
+            upstream.zone,
+            f'upstreams-{index % HOSTS}',
+            next(left),
+        )
+        for index, service in enumerate(services.values())
         for upstream in service.upstreams
     )
-    controls = {name: next(left) for name in services}
+    controls = {f'upstreams-{index}': next(left) for index in range(HOSTS)}
     platform = (next(left), next(left))
     return Topology(plan, entries, upstreams, platform, controls)
 
@@ -174,4 +195,4 @@
     """How many ports a topology takes."""
     services = plan.snapshot.services
     upstreams = sum(len(service.upstreams) for service in services.values())
-    return 3 * instances + upstreams + len(services) + 2
+    return 3 * instances + upstreams + HOSTS + 2
--- a/tests/lab_builders.py
+++ b/tests/lab_builders.py
@@ -12,6 +12,7 @@
 from lab.stage import Mark
 from lab.store import Store
 from lab.topology import new_topology, ports_needed
+from lab.upstream import Upstream
 
 NOW = 100.0
 
@@ -74,3 +75,8 @@
         seed=seed,
         fault=fault,
     )
+
+
+def an_upstream_server(port, name='strike-1', **traits):
+    traits.setdefault('mean_seconds', 0.01)
+    return Upstream(a_server(name, **traits), port)
