Bound retries, quarantine poison, distrust silent connections

Cause: retries need one budget for the fleet; a request that crashes its upstreams must not be let through instance after instance; a connection that something on the way has forgotten must not swallow call after call.

Change: a token bucket whose shares follow the list of instances; a table of suspects for each customer, filled by losses seen here and by peers, which refuses a request after two different upstreams; a path state that throws away kept connections after one silence and lets a fresh one say whether path or server was at fault.

Ruled out: one table of suspects for all customers (one could push out another's); counting every timed-out attempt as silence (short deadlines would empty the pool); a plain hash (a caller could look for two requests with one digest).

--- a/chervilstep/adapters/dispatcher.py
+++ b/chervilstep/adapters/dispatcher.py
@@ -6,6 +6,7 @@
 
 from chervilstep.calls import Attempt, Call, Ending, Outcome, Reply
 from chervilstep.commands import attempting as attempts
+from chervilstep.commands import budget
 from chervilstep.commands import queueing as queue_commands
 from chervilstep.node import Node
 from chervilstep.progress import Progress, new_progress
@@ -78,7 +79,14 @@
             if isinstance(attempt, Refusal):
                 return retrying.refusal_while_waiting(progress, attempt)
             outcome = await self._send(progress, attempt)
-            reply = retrying.reply_after(progress, outcome, self._clock())
+            reply = self._conclude(progress, outcome)
+        return reply
+
+    def _conclude(self, progress: Progress, outcome: Outcome) -> Reply | None:
+        now = self._clock()
+        reply = retrying.reply_after(self._node, progress, outcome, now)
+        if reply is None:
+            budget.spend(self._node, now)
         return reply
 
     async def _acquire(self, progress: Progress) -> Attempt | Refusal:
--- a/chervilstep/node.py
+++ b/chervilstep/node.py
@@ -8,6 +8,9 @@
 from chervilstep.counters import Counters
 from chervilstep.members import Members
 from chervilstep.messages import Outbox
+from chervilstep.paths import Paths
+from chervilstep.quarantine import Quarantine
+from chervilstep.retries import RetryBudget
 from chervilstep.settings import Settings
 from chervilstep.snapshot import Snapshot
 from chervilstep.waiting import Waiting
@@ -27,6 +30,9 @@
         '_counters',
         '_members',
         '_outbox',
+        '_paths',
+        '_quarantine',
+        '_retries',
         '_rng',
         '_settings',
         '_waiting',
@@ -42,6 +48,9 @@
         self._counters = Counters()
         self._outbox = Outbox()
         self._waiting = Waiting()
+        self._quarantine = Quarantine()
+        self._paths = Paths()
+        self._retries = RetryBudget()
 
     @property
     def settings(self) -> Settings:
@@ -83,6 +92,21 @@
         """Messages for peers that were not sent yet."""
         return self._outbox
 
+    @property
+    def retries(self) -> RetryBudget:
+        """The budget of retries and hedges."""
+        return self._retries
+
+    @property
+    def paths(self) -> Paths:
+        """Which connections can be relied on."""
+        return self._paths
+
+    @property
+    def quarantine(self) -> Quarantine:
+        """The requests that may crash upstreams."""
+        return self._quarantine
+
     @property
     def waiting(self) -> Waiting:
         """The calls that wait for an upstream."""
--- a/chervilstep/queries/queueing.py
+++ b/chervilstep/queries/queueing.py
@@ -6,9 +6,11 @@
 from chervilstep.node import Node
 from chervilstep.progress import Progress
 from chervilstep.queries.choice import choose, has_any
+from chervilstep.queries.poison import is_quarantined
 from chervilstep.refusals import (
     DEADLINE_PASSED,
     NO_UPSTREAM,
+    QUARANTINED,
     QUEUE_FULL,
     QUEUE_TIMEOUT,
     QUEUE_TOO_LONG,
@@ -131,13 +133,9 @@
     if queue is None or not len(queue):
         return None
     for waiter in candidates(queue):
-        if waiter.deadline.has_passed(now):
-            return Turn(waiter, QUEUE_TIMEOUT)
-        upstream = _choose(node, service, waiter.progress, now)
-        if upstream is not None:
-            return Turn(waiter, upstream)
-        if not waiter.is_retry:
-            break
+        turn = _turn_of(node, service, waiter, now)
+        if turn is not None or not waiter.is_retry:
+            return turn
     return None
 
 
@@ -168,6 +166,17 @@
     )
 
 
+def _turn_of(
+    node: Node, service: str, waiter: Waiter, now: Instant
+) -> Turn | None:
+    if waiter.deadline.has_passed(now):
+        return Turn(waiter, QUEUE_TIMEOUT)
+    if is_quarantined(node, waiter.progress.ticket, now):
+        return Turn(waiter, QUARANTINED)
+    upstream = _choose(node, service, waiter.progress, now)
+    return None if upstream is None else Turn(waiter, upstream)
+
+
 def _choose(
     node: Node, name: str, progress: Progress, now: Instant
 ) -> Upstream | None:
--- a/chervilstep/queries/retrying.py
+++ b/chervilstep/queries/retrying.py
@@ -5,7 +5,10 @@
 
 from chervilstep import refusals
 from chervilstep.calls import Call, Ending, Outcome, Reply
+from chervilstep.node import Node
 from chervilstep.progress import Progress
+from chervilstep.queries.budget import can_afford
+from chervilstep.queries.poison import is_quarantined
 from chervilstep.types import Instant, Verdict
 
 #: Attempts of one call at this layer, the first one included.
@@ -28,12 +31,14 @@
 
 
 def reply_after(
-    progress: Progress, outcome: Outcome, now: Instant
+    node: Node, progress: Progress, outcome: Outcome, now: Instant
 ) -> Reply | None:
     """Returns the reply to the caller, or None when a retry is allowed."""
     if outcome.answer is not None:
         return outcome.answer
-    if may_retry(progress, outcome, now):
+    if may_retry(progress, outcome, now) and not _is_barred(
+        node, progress, now
+    ):
         return None
     return refusal_after(progress, outcome)
 
@@ -73,3 +78,9 @@
     if progress.doubt is None:
         return refusal
     return refusal_after(progress, progress.doubt)
+
+
+def _is_barred(node: Node, progress: Progress, now: Instant) -> bool:
+    if is_quarantined(node, progress.ticket, now):
+        return True
+    return not can_afford(node, now)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -83,7 +83,7 @@
     )
 
 
-def a_call(method='GET', target='/strike/1', key=KEY, body=b''):
+def a_call(method='GET', target='/strike/1', key=KEY, body=b'', attempt=1):
     return Call(
         method,
         target,
@@ -91,6 +91,7 @@
         body,
         key_digest=digest_of(key) if key else None,
         deadline=None,
+        attempt=attempt,
     )
 
 
--- a/tests/dispatch_builders.py
+++ b/tests/dispatch_builders.py
@@ -6,8 +6,16 @@
 from chervilstep.adapters.dispatcher import new_dispatcher
 from chervilstep.calls import Answer, Ending, Outcome
 from chervilstep.hooks import POLICIES
+from chervilstep.progress import new_progress
 from chervilstep.types import Verdict
-from tests.builders import a_node, a_service, a_snapshot, an_upstream
+from tests.builders import (
+    a_node,
+    a_service,
+    a_snapshot,
+    a_ticket,
+    an_attempt,
+    an_upstream,
+)
 
 load_capabilities()
 
@@ -31,6 +39,7 @@
     Ending.TIMED_OUT: Verdict.MAY_HAVE_RUN,
     Ending.BAD_ANSWER: Verdict.MAY_HAVE_RUN,
     Ending.TOO_LARGE: Verdict.RAN,
+    Ending.CANCELLED: Verdict.MAY_HAVE_RUN,
 }
 
 
@@ -38,11 +47,23 @@
     return Answer(status, 'OK', (), body)
 
 
-def an_outcome(ending=Ending.ANSWERED, now=0, body=b'ok'):
+def an_outcome_of(ending=Ending.ANSWERED, now=0, body=b'ok'):
     answer = an_answer(body=body) if ending is Ending.ANSWERED else None
     return Outcome(ending, VERDICTS[ending], now, answer)
 
 
+def a_progress(ticket=None):
+    return new_progress(ticket or a_ticket())
+
+
+def an_ended_progress(outcome, ticket=None):
+    """A progress whose first attempt ended with ``outcome``."""
+    progress = a_progress(ticket)
+    progress.begin(an_attempt(progress.ticket))
+    progress.end(outcome)
+    return progress
+
+
 class Step:
     """How the fake pool treats one attempt."""
 
@@ -70,7 +91,7 @@
             self.cancelled.append(attempt)
             raise
         body = attempt.upstream.name.encode()
-        return an_outcome(step.ending, self.loop.time(), body)
+        return an_outcome_of(step.ending, self.loop.time(), body)
 
     async def _hold(self, attempt, step):
         if step.ending is Ending.TIMED_OUT:
@@ -84,11 +105,11 @@
     return new_dispatcher(node or a_node(), pool or FakePool(loop), loop.time)
 
 
-def a_slotted_node(upstreams=1, slots=1, **parts):
+def a_slotted_node(upstreams=1, slots=1, name='entry-1', **parts):
     """A node whose upstreams take one call for each slot."""
     servers = [
         an_upstream(f'strike-{index}', port=9000 + index, slots=slots)
         for index in range(1, upstreams + 1)
     ]
     service = a_service(upstreams=servers, policy='free-slot')
-    return a_node(a_snapshot(services=[service], **parts))
+    return a_node(a_snapshot(services=[service], **parts), name)
--- /dev/null
+++ b/tests/test_poison.py
@@ -0,0 +1,192 @@
+"""Tests of requests that crash every upstream that runs them."""
+
+import pytest
+
+from chervilstep import refusals
+from chervilstep.calls import Answer, Ending
+from chervilstep.commands.poison import (
+    Crash,
+    expire_suspects,
+    hear_crash,
+    suspect_loss,
+)
+from chervilstep.hooks import MESSAGES
+from chervilstep.quarantine import MAX_SUSPECTS
+from chervilstep.queries.poison import (
+    MAX_QUARANTINED,
+    QUARANTINE_SECONDS,
+    SUSPICION_SECONDS,
+    fingerprint,
+    is_quarantined,
+)
+from tests.builders import (
+    a_call,
+    a_customer,
+    a_node,
+    a_ticket,
+    an_attempt,
+    an_upstream,
+)
+from tests.dispatch_builders import (
+    FakePool,
+    Step,
+    a_dispatcher,
+    a_slotted_node,
+    an_outcome_of,
+)
+from tests.virtual_loop import run_virtually
+
+POISON = a_call('POST', body=b'poison')
+
+
+def a_poison_ticket(customer='fletcher', body=b'poison'):
+    return a_ticket(a_call('POST', body=body), customer=a_customer(customer))
+
+
+def lose(node, ticket, upstream, now=0):
+    attempt = an_attempt(ticket, an_upstream(upstream))
+    suspect_loss(node, attempt, an_outcome_of(Ending.LOST, now))
+
+
+def exchange(sender, receivers, now=0):
+    """Delivers what ``sender`` tells every peer."""
+    for letter in sender.outbox.letters:
+        for node in receivers:
+            hear_crash(node, 'peer', letter.message, now)
+    sender.outbox.clear()
+
+
+def test_poison_sent_to_other_instances_crashes_two_upstreams():
+    nodes = [a_slotted_node(8, name=f'entry-{index}') for index in range(4)]
+
+    async def send_to(loop, node):
+        pool = FakePool(loop, default=Step(Ending.LOST))
+        reply = await a_dispatcher(loop, pool, node).handle(POISON)
+        exchange(node, [other for other in nodes if other is not node])
+        for attempt in pool.sent:
+            # What has crashed takes no further work.
+            for other in nodes:
+                other.board.load(attempt.upstream.name).start()
+        return reply
+
+    async def run(loop):
+        return [await send_to(loop, node) for node in nodes]
+
+    assert run_virtually(run) == [
+        refusals.UPSTREAM_LOST,
+        refusals.UPSTREAM_LOST,
+        refusals.QUARANTINED,
+        refusals.QUARANTINED,
+    ]
+
+
+def test_idempotent_poison_is_not_retried_a_second_time():
+    node = a_node()
+
+    async def run(loop):
+        pool = FakePool(loop, default=Step(Ending.LOST))
+        dispatcher = a_dispatcher(loop, pool, node)
+        first = await dispatcher.handle(a_call(body=b'poison'))
+        second = await dispatcher.handle(a_call(body=b'poison'))
+        return first, second, pool
+
+    first, second, pool = run_virtually(run)
+    assert first is refusals.UPSTREAM_LOST
+    assert second is refusals.QUARANTINED
+    assert len(pool.sent) == 2
+
+
+def test_other_requests_of_the_customer_go_on():
+    node = a_node()
+    ticket = a_poison_ticket()
+    lose(node, ticket, 'strike-1')
+    lose(node, ticket, 'strike-2')
+    assert is_quarantined(node, ticket, 0)
+    assert not is_quarantined(node, a_poison_ticket(body=b'other'), 0)
+    assert not is_quarantined(node, a_poison_ticket('cement'), 0)
+
+    async def run(loop):
+        return await a_dispatcher(loop, node=node).handle(a_call('POST'))
+
+    assert isinstance(run_virtually(run), Answer)
+
+
+def test_one_crash_quarantines_nobody():
+    node = a_node()
+    tickets = [a_poison_ticket(body=bytes([index])) for index in range(9)]
+    for ticket in tickets:
+        lose(node, ticket, 'strike-1')
+        lose(node, ticket, 'strike-1')
+    assert not any(is_quarantined(node, ticket, 0) for ticket in tickets)
+
+
+def test_mass_crash_quarantines_a_bounded_number():
+    node = a_node()
+    tickets = [a_poison_ticket(body=bytes([index])) for index in range(40)]
+    for upstream in ('strike-1', 'strike-2', 'strike-3'):
+        for ticket in tickets:
+            lose(node, ticket, upstream)
+    refused = sum(is_quarantined(node, ticket, 0) for ticket in tickets)
+    assert refused == MAX_QUARANTINED
+
+
+def test_answer_clears_the_suspicion():
+    node = a_node()
+    ticket = a_poison_ticket()
+    lose(node, ticket, 'strike-1')
+    attempt = an_attempt(ticket, an_upstream('strike-3'))
+    suspect_loss(node, attempt, an_outcome_of())
+    lose(node, ticket, 'strike-2')
+    assert not is_quarantined(node, ticket, 0)
+
+
+def test_quarantine_ends_and_returns_for_longer():
+    node = a_node()
+    ticket = a_poison_ticket()
+    lose(node, ticket, 'strike-1')
+    lose(node, ticket, 'strike-2')
+    later = QUARANTINE_SECONDS
+    assert not is_quarantined(node, ticket, later)
+    lose(node, ticket, 'strike-1', later)
+    assert is_quarantined(node, ticket, later + 2 * QUARANTINE_SECONDS - 1)
+    assert not is_quarantined(node, ticket, later + 2 * QUARANTINE_SECONDS)
+
+
+def test_suspicion_is_forgotten():
+    node = a_node()
+    ticket = a_poison_ticket()
+    lose(node, ticket, 'strike-1')
+    expire_suspects(node, SUSPICION_SECONDS - 1)
+    assert node.quarantine.customers
+    expire_suspects(node, SUSPICION_SECONDS)
+    assert not node.quarantine.customers
+
+
+def test_table_of_a_customer_is_bounded():
+    node = a_node()
+    for index in range(3 * MAX_SUSPECTS):
+        ticket = a_poison_ticket(body=index.to_bytes(2))
+        lose(node, ticket, 'strike-1', now=index)
+    assert len(node.quarantine.customers['fletcher']) == MAX_SUSPECTS
+
+
+@pytest.mark.parametrize(
+    'crash',
+    [
+        Crash('nobody', bytes(16), 'strike-1'),
+        Crash('fletcher', bytes(15), 'strike-1'),
+        Crash('fletcher', bytes(16), 'x' * 1000),
+    ],
+)
+def test_nonsense_of_a_peer_is_ignored(crash):
+    node = a_node()
+    hear_crash(node, 'entry-2', crash, 0)
+    assert not node.quarantine.customers
+
+
+def test_fingerprint_is_the_same_on_every_instance():
+    assert MESSAGES.find('crash') is Crash
+    ticket = a_poison_ticket()
+    one = fingerprint(a_node(name='entry-1'), ticket)
+    assert one == fingerprint(a_node(name='entry-2', seed=2), ticket)
+    assert one != fingerprint(a_node(), a_poison_ticket(body=b'other'))
--- /dev/null
+++ b/tests/test_retries.py
@@ -0,0 +1,143 @@
+"""Tests of verdicts, retries and their budget."""
+
+import pytest
+
+from chervilstep import refusals
+from chervilstep.calls import Answer, Ending
+from chervilstep.commands.budget import earn, spend
+from chervilstep.members import Instance
+from chervilstep.queries.attempting import new_attempt
+from chervilstep.queries.budget import balance, can_afford
+from chervilstep.queries.retrying import may_retry
+from chervilstep.retries import (
+    FLEET_TOKENS,
+    FLEET_TOKENS_PER_SECOND,
+    TOKENS_PER_CALL,
+)
+from tests.builders import a_call, a_node, a_ticket, an_upstream
+from tests.dispatch_builders import (
+    FakePool,
+    Step,
+    a_dispatcher,
+    a_progress,
+    an_ended_progress,
+    an_outcome_of,
+)
+from tests.virtual_loop import run_virtually
+
+INSTANCES = 15
+
+
+def a_fleet_node(instances=INSTANCES):
+    node = a_node()
+    listed = [
+        Instance(f'entry-{index}', 'akl', '', '')
+        for index in range(1, instances + 1)
+    ]
+    node.members.replace(1, listed)
+    return node
+
+
+@pytest.mark.parametrize('ending', list(Ending))
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+def test_in_doubt_only_idempotent_calls_may_be_retried(method, ending):
+    outcome = an_outcome_of(ending)
+    progress = an_ended_progress(outcome, a_ticket(a_call(method)))
+    allowed = may_retry(progress, outcome, 0)
+    if ending in {Ending.ANSWERED, Ending.TOO_LARGE, Ending.CANCELLED}:
+        assert not allowed
+    elif method == 'POST':
+        assert allowed == outcome.verdict.is_safe_to_resend
+    else:
+        assert allowed
+
+
+def test_nested_retries_add_up():
+    progress = an_ended_progress(
+        an_outcome_of(Ending.SHED), a_ticket(a_call(attempt=2))
+    )
+    assert not may_retry(progress, progress.last, 0)
+    # The layer below the next one is told as well.
+    attempt = new_attempt(
+        a_progress(a_ticket(a_call(attempt=2))), an_upstream(), 0
+    )
+    assert attempt.number == 2
+
+
+def test_silent_attempts_leave_room_for_a_retry_only_if_one_may_follow():
+    def seconds(method, attempts=0, **changes):
+        progress = a_progress(a_ticket(a_call(method, **changes)))
+        for _ in range(attempts):
+            progress.begin(new_attempt(progress, an_upstream(), 0))
+        return new_attempt(progress, an_upstream(), 0).deadline.at
+
+    assert seconds('GET') == pytest.approx(1)
+    assert seconds('GET', attempts=2) == pytest.approx(2)
+    assert seconds('GET', attempt=2) == pytest.approx(2)
+    assert seconds('POST') == pytest.approx(2)
+
+
+def test_budget_of_the_fleet_is_bounded():
+    node = a_fleet_node()
+    calls = 100
+    spent = 0
+    for index in range(calls):
+        now = index * 0.01
+        earn(node, a_ticket(), now)
+        while can_afford(node, now):
+            spend(node, now)
+            spent += 1
+    bound = TOKENS_PER_CALL * calls
+    bound += (FLEET_TOKENS + FLEET_TOKENS_PER_SECOND) / INSTANCES
+    assert bound - 2 <= spent <= bound
+
+
+def test_budget_is_shared_by_the_instances_on_the_list():
+    assert balance(a_fleet_node(), 0) == pytest.approx(4)
+    assert balance(a_fleet_node(1000), 0) == pytest.approx(1)
+    assert balance(a_node(), 0) == pytest.approx(FLEET_TOKENS)
+
+
+def test_clock_that_stands_still_adds_nothing():
+    node = a_fleet_node()
+    for _ in range(4):
+        spend(node, 10)
+    assert balance(node, 10) == pytest.approx(0)
+    assert balance(node, 9) == pytest.approx(0)
+
+
+def test_exhausted_budget_is_a_true_refusal():
+    node = a_fleet_node()
+
+    async def run(loop):
+        pool = FakePool(loop, default=Step(Ending.SHED, seconds=0))
+        dispatcher = a_dispatcher(loop, pool, node)
+        replies = [await dispatcher.handle(a_call()) for _ in range(100)]
+        return replies, pool
+
+    replies, pool = run_virtually(run)
+    assert all(reply is refusals.UPSTREAM_SHED for reply in replies)
+    retries = len(pool.sent) - len(replies)
+    assert retries <= TOKENS_PER_CALL * len(replies) + 4
+
+
+def test_no_retry_after_the_deadline():
+    async def run(loop):
+        pool = FakePool(loop, [Step(Ending.SHED, seconds=3)])
+        reply = await a_dispatcher(loop, pool).handle(a_call())
+        return reply, pool
+
+    reply, pool = run_virtually(run)
+    assert reply is refusals.UPSTREAM_SHED
+    assert len(pool.sent) == 1
+
+
+def test_silent_upstream_costs_an_idempotent_call_half_its_time():
+    async def run(loop):
+        pool = FakePool(loop, [Step(Ending.TIMED_OUT)])
+        reply = await a_dispatcher(loop, pool).handle(a_call())
+        return reply, loop.time()
+
+    reply, elapsed = run_virtually(run)
+    assert isinstance(reply, Answer)
+    assert elapsed == pytest.approx(1.01)
