--- a/chervilstep/node.py
+++ b/chervilstep/node.py
@@ -12,6 +12,7 @@
 from chervilstep.quarantine import Quarantine
 from chervilstep.retries import RetryBudget
 from chervilstep.settings import Settings
+from chervilstep.shares import Shares
 from chervilstep.snapshot import Snapshot
 from chervilstep.waiting import Waiting
 
@@ -35,6 +36,7 @@
         '_retries',
         '_rng',
         '_settings',
+        '_shares',
         '_waiting',
     )
 
@@ -47,6 +49,7 @@
         self._board = Board()
         self._counters = Counters()
         self._outbox = Outbox()
+        self._shares = Shares()
         self._waiting = Waiting()
         self._quarantine = Quarantine()
         self._paths = Paths()
@@ -107,6 +110,11 @@
         """The requests that may crash upstreams."""
         return self._quarantine
 
+    @property
+    def shares(self) -> Shares:
+        """The customers' tokens that this instance may spend."""
+        return self._shares
+
     @property
     def waiting(self) -> Waiting:
         """The calls that wait for an upstream."""
--- a/chervilstep/queries/queueing.py
+++ b/chervilstep/queries/queueing.py
@@ -121,9 +121,9 @@
     of their line that can is offered too.
     """
     lanes = [(prio, lane) for prio, lane in queue.lanes.items() if len(lane)]
-    lanes.sort(key=lambda pair: (queue.shares.tag(pair[0].name), pair[0]))
+    lanes.sort(key=lambda pair: (queue.turns.tag(pair[0].name), pair[0]))
     for _, lane in lanes:
-        for customer in sorted(lane.lines, key=lane.shares.tag):
+        for customer in sorted(lane.lines, key=lane.turns.tag):
             yield from _front(lane, customer)
 
 
--- a/chervilstep/waiting.py
+++ b/chervilstep/waiting.py
@@ -15,8 +15,8 @@
     Priority.NORMAL: 1 / 4,
     Priority.BULK: 1,
 }
-#: Shares of keys that have not waited recently are forgotten above this.
-MAX_SHARES: Final = 1024
+#: Tags of keys that have not waited recently are forgotten above this.
+MAX_TAGS: Final = 1024
 #: How much the newest interval between two grants counts in the mean.
 GRANT_SMOOTHING: Final = 0.1
 
@@ -91,7 +91,7 @@
 
 
 @final
-class Shares:
+class VirtualTime:
     """The virtual clock of start-time fair queueing over some keys.
 
     Goyal, Vin and Cheng, "Start-time Fair Queueing" (SIGCOMM 1996): the key
@@ -114,7 +114,7 @@
         """Gives ``key`` a turn of ``cost``."""
         self._virtual_now = self.tag(key)
         self._tags[key] = self._virtual_now + cost
-        if len(self._tags) > MAX_SHARES:
+        if len(self._tags) > MAX_TAGS:
             self._forget_idle()
 
     def _forget_idle(self) -> None:
@@ -168,12 +168,12 @@
 class Lane:
     """The waiters of one class, a line for each customer."""
 
-    __slots__ = ('_lines', '_shares', '_size')
+    __slots__ = ('_lines', '_size', '_turns')
 
     def __init__(self) -> None:
         """Starts empty."""
         self._lines: dict[str, deque[Waiter]] = {}
-        self._shares = Shares()
+        self._turns = VirtualTime()
         self._size = 0
 
     def __len__(self) -> int:
@@ -186,9 +186,9 @@
         return self._lines
 
     @property
-    def shares(self) -> Shares:
+    def turns(self) -> VirtualTime:
         """The turns of the customers."""
-        return self._shares
+        return self._turns
 
     def add(self, waiter: Waiter) -> None:
         """Adds a waiter; one that was tried before goes first."""
@@ -212,12 +212,12 @@
 class ServiceQueue:
     """The calls that wait for one service."""
 
-    __slots__ = ('_lanes', '_pace', '_shares', '_size')
+    __slots__ = ('_lanes', '_pace', '_size', '_turns')
 
     def __init__(self) -> None:
         """Starts empty."""
         self._lanes = {priority: Lane() for priority in Priority}
-        self._shares = Shares()
+        self._turns = VirtualTime()
         self._pace = Pace()
         self._size = 0
 
@@ -237,9 +237,9 @@
         return self._lanes
 
     @property
-    def shares(self) -> Shares:
+    def turns(self) -> VirtualTime:
         """The turns of the classes."""
-        return self._shares
+        return self._turns
 
     @property
     def pace(self) -> Pace:
@@ -264,8 +264,8 @@
         self._pace.note(now)
         if not waiter.is_retry:
             priority = waiter.priority
-            self._shares.charge(priority.name, TURN_COSTS[priority])
-            self._lanes[priority].shares.charge(waiter.customer, 1)
+            self._turns.charge(priority.name, TURN_COSTS[priority])
+            self._lanes[priority].turns.charge(waiter.customer, 1)
 
 
 @final
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,10 +1,13 @@
 """Builders of test data; every test takes its data from here."""
 
 import hashlib
+import math
 
 from chervilstep.calls import Answer, Attempt, Call, Ending, Outcome, Ticket
+from chervilstep.members import Instance
 from chervilstep.node import Node, new_node
 from chervilstep.settings import Settings
+from chervilstep.shares import Grant
 from chervilstep.snapshot import (
     Customer,
     Priority,
@@ -14,7 +17,7 @@
     Upstream,
     ZoneState,
 )
-from chervilstep.types import Verdict, new_deadline
+from chervilstep.types import Deadline, Verdict, new_deadline
 
 KEY = 'key-of-fletcher'
 
@@ -41,6 +44,17 @@
     return node
 
 
+def a_stocked_node(snapshot=None, **changes) -> Node:
+    """A node whose customers have more tokens than any test spends."""
+    node = a_node(snapshot, **changes)
+    plenty = Grant(10**9, 10**9, Deadline(math.inf))
+    for name in node.snapshot.customers:
+        bucket = node.shares.bucket(name)
+        bucket.put(node.settings.name, plenty, 0)
+        bucket.credit(plenty.burst, 0)
+    return node
+
+
 def an_upstream(name='strike-1', zone='akl', port=9001, **changes):
     changes.setdefault('slots', 3)
     return Upstream(name, f'127.0.0.1:{port}', zone, **changes)
@@ -122,3 +136,15 @@
         answer = Answer(status, 'OK', (), b'')
         verdict = Verdict.RAN
     return Outcome(ending, verdict, ended_at, answer)
+
+
+def a_listing(size, first=1, zones=('akl', 'ham', 'tga', 'wlg')):
+    return [
+        Instance(
+            f'entry-{index}',
+            zones[index % len(zones)],
+            f'127.0.0.1:{8000 + index}',
+            f'127.0.0.1:{9000 + index}',
+        )
+        for index in range(first, first + size)
+    ]
--- a/tests/dispatch_builders.py
+++ b/tests/dispatch_builders.py
@@ -9,9 +9,9 @@
 from chervilstep.progress import new_progress
 from chervilstep.types import Verdict
 from tests.builders import (
-    a_node,
     a_service,
     a_snapshot,
+    a_stocked_node,
     a_ticket,
     an_attempt,
     an_upstream,
@@ -102,7 +102,9 @@
 
 
 def a_dispatcher(loop, pool=None, node=None):
-    return new_dispatcher(node or a_node(), pool or FakePool(loop), loop.time)
+    return new_dispatcher(
+        node or a_stocked_node(), pool or FakePool(loop), loop.time
+    )
 
 
 def a_slotted_node(upstreams=1, slots=1, name='entry-1', **parts):
@@ -112,4 +114,4 @@
         for index in range(1, upstreams + 1)
     ]
     service = a_service(upstreams=servers, policy='free-slot')
-    return a_node(a_snapshot(services=[service], **parts), name)
+    return a_stocked_node(a_snapshot(services=[service], **parts), name=name)
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -14,7 +14,7 @@
     FLEET_TOKENS_PER_SECOND,
     TOKENS_PER_CALL,
 )
-from tests.builders import a_call, a_node, a_ticket, an_upstream
+from tests.builders import a_call, a_stocked_node, a_ticket, an_upstream
 from tests.dispatch_builders import (
     FakePool,
     Step,
@@ -29,7 +29,7 @@
 
 
 def a_fleet_node(instances=INSTANCES):
-    node = a_node()
+    node = a_stocked_node()
     listed = [
         Instance(f'entry-{index}', 'akl', '', '')
         for index in range(1, instances + 1)
@@ -95,7 +95,7 @@
 def test_budget_is_shared_by_the_instances_on_the_list():
     assert balance(a_fleet_node(), 0) == pytest.approx(4)
     assert balance(a_fleet_node(1000), 0) == pytest.approx(1)
-    assert balance(a_node(), 0) == pytest.approx(FLEET_TOKENS)
+    assert balance(a_stocked_node(), 0) == pytest.approx(FLEET_TOKENS)
 
 
 def test_clock_that_stands_still_adds_nothing():
