--- a/chervilstep/node.py
+++ b/chervilstep/node.py
@@ -8,7 +8,10 @@
 from chervilstep.counters import Counters
 from chervilstep.members import Members
 from chervilstep.messages import Outbox
+from chervilstep.paths import Paths
+from chervilstep.quarantine import Quarantine
 from chervilstep.relay import Relay
+from chervilstep.retries import RetryBudget
 from chervilstep.settings import Settings
 from chervilstep.shares import Shares
 from chervilstep.snapshot import Snapshot
@@ -30,6 +33,9 @@
         '_members',
         '_outbox',
         '_relay',
+        '_paths',
+        '_quarantine',
+        '_retries',
         '_rng',
         '_settings',
         '_shares',
@@ -48,6 +54,9 @@
         self._relay = Relay()
         self._shares = Shares()
         self._waiting = Waiting()
+        self._quarantine = Quarantine()
+        self._paths = Paths()
+        self._retries = RetryBudget()
 
     @property
     def settings(self) -> Settings:
@@ -94,6 +103,21 @@
         """What passes the configuration on between peers."""
         return self._relay
 
+    @property
+    def retries(self) -> RetryBudget:
+        """The budget of retries and hedges."""
+        return self._retries
+
+    @property
+    def paths(self) -> Paths:
+        """Which connections can be relied on."""
+        return self._paths
+
+    @property
+    def quarantine(self) -> Quarantine:
+        """The requests that may crash upstreams."""
+        return self._quarantine
+
     @property
     def shares(self) -> Shares:
         """The customers' tokens that this instance may spend."""
