--- a/chervilstep/adapters/instance.py
+++ b/chervilstep/adapters/instance.py
@@ -1,6 +1,7 @@
 """Assembles one entry instance: its state, listeners and tasks."""
 
 import asyncio
+import functools
 import signal
 import time
 from collections.abc import Callable
@@ -21,6 +22,7 @@
 from chervilstep.hooks import FAREWELLS
 from chervilstep.node import Node, new_node
 from chervilstep.queries.locator import KEEP_SECONDS
+from chervilstep.queries.trust import is_trusted
 from chervilstep.settings import Settings
 from chervilstep.types import Deadline, Instant, new_deadline
 
@@ -59,7 +61,9 @@
         """Builds the parts; nothing listens yet."""
         self._node = node
         self._clock = clock
-        self._pool = new_pool(node.settings, clock, _trust_always)
+        self._pool = new_pool(
+            node.settings, clock, functools.partial(is_trusted, node)
+        )
         dispatcher = new_dispatcher(node, self._pool, clock)
         self._front = new_entry_front(node, dispatcher.handle, clock)
         self._entry = httpserver.HTTPServer(
@@ -173,7 +177,3 @@
 def _listen(server: httpserver.HTTPServer | PeerStreams, address: str) -> None:
     host, port = split_address(address)
     server.listen(port, host)
-
-
-def _trust_always(name: str, opened_at: Instant) -> bool:
-    return True
