Drive whole deployments of real processes in tests; ask no resolver thread

Cause: an entry process had two threads, since the platform's client resolved IP numbers in a thread of the library; nothing tested whole processes. Before: 2 threads in an entry process.

--- a/chervilstep/adapters/platform.py
+++ b/chervilstep/adapters/platform.py
@@ -10,6 +10,7 @@
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from chervilstep.adapters.source import SOURCES
+from chervilstep.adapters.streams import NumericResolver
 from chervilstep.commands.platform import take_instances, take_sections
 from chervilstep.exceptions import PlatformError
 from chervilstep.members import Instance, InstanceState
@@ -61,7 +62,9 @@
         self._node = node
         self._address = address
         self._http: AsyncHTTPClient = SimpleAsyncHTTPClient(
-            force_instance=True, max_body_size=MAX_ANSWER_BYTES
+            force_instance=True,
+            max_body_size=MAX_ANSWER_BYTES,
+            resolver=NumericResolver(),
         )
 
     async def list(self, prefix: str) -> PlatformAnswer:
--- a/chervilstep/adapters/streams.py
+++ b/chervilstep/adapters/streams.py
@@ -1,8 +1,9 @@
 """Opens TCP streams to addresses that are IP numbers."""
 
 import socket
+from typing import Any, final
 
-from tornado import iostream
+from tornado import iostream, netutil
 
 
 async def connect(address: str) -> iostream.IOStream:
@@ -29,3 +30,24 @@
     """Splits ``ip:port`` or ``[ip]:port`` into the host and the port."""
     host, _, port = address.rpartition(':')
     return host.strip('[]'), int(port)
+
+
+@final
+class NumericResolver(netutil.Resolver):
+    """Takes addresses as they are, for clients that insist on a resolver.
+
+    The resolver of the library asks the system in a thread of its own.
+    """
+
+    __slots__ = ()
+
+    async def resolve(
+        self,
+        host: str,
+        port: int,
+        family: socket.AddressFamily = socket.AF_UNSPEC,
+    ) -> list[tuple[int, Any]]:
+        """Returns the one address that an IP number stands for."""
+        numbers = host.strip('[]')
+        found = socket.AF_INET6 if ':' in numbers else socket.AF_INET
+        return [(found, (numbers, port))]
--- a/lab/processes.py
+++ b/lab/processes.py
@@ -62,6 +62,10 @@
                 stderr=log,
             )
 
+    def exit_code(self, name: str) -> int | None:
+        """The exit code of a child, or None while it runs."""
+        return self._children[name].poll()
+
     def send(self, name: str, number: signal.Signals) -> None:
         """Sends a signal to one child that still runs."""
         child = self._children[name]
--- /dev/null
+++ b/tests/process_builders.py
@@ -0,0 +1,63 @@
+"""Builders of deployments of real processes."""
+
+import asyncio
+import contextlib
+import pathlib
+import random
+import time
+
+from lab.caller import Caller
+from lab.client import Client
+from lab.deployment import new_deployment, publish
+from lab.plans import PLANS
+from lab.processes import Processes
+
+#: Far beyond what any step takes; only a test that hangs meets it.
+PATIENCE_SECONDS = 60
+#: Limits that no test reaches.
+GENEROUS = {'fletcher': (5000, 5000)}
+
+
+@contextlib.asynccontextmanager
+async def a_deployment(folder, instances=2, limits=()):
+    """Starts a small New Zealand deployment; yields it with a caller."""
+    with Processes(pathlib.Path(folder)) as processes:
+        deployment = new_deployment(
+            PLANS.find('nz')(), instances, processes, pathlib.Path(folder)
+        )
+        await deployment.start_stand_ins(0.01, 1, 1)
+        await publish(deployment, dict(limits), '')
+        await deployment.start_entries()
+        client = Client()
+        addresses = tuple(place.address for place in deployment.entries)
+        caller = Caller(addresses, client, random.Random(1))
+        await named_by_locator(caller, instances)
+        yield deployment, caller
+        client.close()
+
+
+async def named_by_locator(caller, count):
+    """Waits until the locator names exactly ``count`` instances."""
+    async with asyncio.timeout(PATIENCE_SECONDS):
+        while True:
+            await caller.refresh(float('inf'))
+            if len(caller.addresses) == count:
+                return
+            await asyncio.sleep(0.05)
+
+
+async def until(condition):
+    """Waits until ``condition()`` holds."""
+    deadline = time.monotonic() + PATIENCE_SECONDS
+    while not condition():
+        assert time.monotonic() < deadline, condition
+        await asyncio.sleep(0.05)
+
+
+def threads_of(process_id):
+    return len(tuple(pathlib.Path(f'/proc/{process_id}/task').iterdir()))
+
+
+def children_of(process_id):
+    path = pathlib.Path(f'/proc/{process_id}/task/{process_id}/children')
+    return path.read_text().split()
