--- a/chervilstep/commands/relaying.py
+++ b/chervilstep/commands/relaying.py
@@ -9,8 +9,10 @@
 from chervilstep.queries.relaying import (
     inquiry_recipients,
     is_alone,
+    needs_quorum,
     quorum_until,
     remaining_of,
+    vouchers_of,
 )
 from chervilstep.queries.revisions import highest_revision
 from chervilstep.relay import (
@@ -33,11 +35,13 @@
             new_deadline(now, INTRODUCTION_SECONDS),
             new_deadline(now, GRACE_SECONDS),
         )
+    relay.forget_expired(now)
     if is_alone(node):
         confirm_by_quorum(node, now)
     for peer in inquiry_recipients(node, now):
         relay.ask(peer, now)
-        node.outbox.put(peer, ConfigInquiry(relay.last_number))
+        inquiry = ConfigInquiry(relay.last_number, needs_quorum(node, now))
+        node.outbox.put(peer, inquiry)
 
 
 @HANDLERS.register(ConfigInquiry.kind)
@@ -52,6 +56,7 @@
         remaining_of(node, now),
         node.relay.is_introduced,
         highest_revision(node.configuration),
+        vouchers_of(node, now) if message.wants_vouchers else (),
     )
     node.outbox.put(peer, summary)
 
@@ -73,7 +78,7 @@
         node.relay.distrust(peer)
         request_revisions(node, peer, None)
         return
-    node.relay.vouch(peer, new_deadline(inquiry.sent_at, HOLD_SECONDS))
+    _take_vouchers(node, peer, message, inquiry.sent_at)
     if message.is_introduced and message.fingerprint:
         node.relay.introduce()
     remaining = min(message.remaining, HOLD_SECONDS)
@@ -81,6 +86,21 @@
     confirm_by_quorum(node, now)
 
 
+def _take_vouchers(
+    node: Node, peer: str, message: ConfigSummary, sent_at: Instant
+) -> None:
+    """Notes who has nothing else than this instance.
+
+    The peer has equal sections now, so whoever vouched to it before knew of
+    nothing else either.
+    """
+    node.relay.vouch(peer, new_deadline(sent_at, HOLD_SECONDS))
+    for name, seconds in message.vouchers:
+        if name != node.members.self_name:
+            until = new_deadline(sent_at, min(seconds, HOLD_SECONDS))
+            node.relay.vouch(name, until)
+
+
 def confirm_by_quorum(node: Node, now: Instant) -> None:
     """Confirms the configuration if a majority has nothing else."""
     until = quorum_until(node, now)
--- /dev/null
+++ b/chervilstep/fields.py
@@ -0,0 +1,39 @@
+"""Checks of the fields of messages that peers send."""
+
+from collections.abc import Sequence
+from typing import Final, TypeAlias, TypeVar
+
+from chervilstep.exceptions import PeerError
+
+Field = TypeVar('Field')
+#: What ``isinstance`` takes.
+Expected: TypeAlias = type[object] | tuple[type[object], ...]
+
+#: The longest list that one field may hold.
+MAX_PAIRS: Final = 1000
+
+
+def checked(found: Field, expected: Expected) -> Field:
+    """Returns a field of an ``expected`` type.
+
+    Raises:
+        PeerError: The field has another type.
+    """
+    if isinstance(found, bool) or not isinstance(found, expected):
+        raise PeerError(f'unexpected {type(found).__name__} in a message')
+    return found
+
+
+def checked_pairs(
+    found: Sequence[tuple[str, Field]], expected: Expected
+) -> tuple[tuple[str, Field], ...]:
+    """Returns a bounded list of names with values of an ``expected`` type.
+
+    Raises:
+        PeerError: The list is too long or holds something else.
+    """
+    if len(found) > MAX_PAIRS:
+        raise PeerError('a list in a message is too long')
+    return tuple(
+        (checked(name, str), checked(entry, expected)) for name, entry in found
+    )
--- a/chervilstep/queries/relaying.py
+++ b/chervilstep/queries/relaying.py
@@ -12,6 +12,7 @@
 
 from chervilstep.node import Node
 from chervilstep.relay import HOLD_SECONDS
+from chervilstep.sync_messages import Vouchers
 from chervilstep.types import Deadline, Instant
 
 #: How many instances watch the platform's document at rest.
@@ -23,10 +24,12 @@
 #: A watcher asks for a quorum when less than this remains: by then the
 #: platform has failed to answer for a few seconds.
 QUORUM_SECONDS: Final = 5
-#: A quorum is collected over this many rounds of inquiries.
-QUORUM_ROUNDS: Final = 3
+#: How many peers are asked in a round to collect a quorum.
+QUORUM_PEERS: Final = 4
+#: Bounds what one answer tells of other instances.
+MAX_VOUCHERS: Final = 1000
 #: How many peers are told of a new revision.
-NOTICE_PEERS: Final = 4
+NOTICE_PEERS: Final = 6
 
 
 @final
@@ -73,16 +76,30 @@
 def inquiry_recipients(node: Node, now: Instant) -> tuple[str, ...]:
     """The peers to ask in this round.
 
-    One parent is enough while the platform's answers come down the ranks. A
-    watcher that lacks them, and whoever has nothing left, collects a quorum.
+    One parent is enough while the platform's answers come down the ranks.
     """
-    parents = parents_of(node, now)
-    chosen = node.rng.sample(parents, min(1, len(parents)))
-    if _needs_quorum(node, now):
-        alive = live_peers(node, now)
-        count = min(len(alive), len(alive) // QUORUM_ROUNDS + WATCHERS)
-        chosen += node.rng.sample(alive, count)
-    return tuple(dict.fromkeys(chosen))
+    if needs_quorum(node, now):
+        candidates, count = live_peers(node, now), QUORUM_PEERS
+    else:
+        candidates, count = parents_of(node, now), 1
+    return tuple(node.rng.sample(candidates, min(count, len(candidates))))
+
+
+def needs_quorum(node: Node, now: Instant) -> bool:
+    """Whether the platform's answers fail to come."""
+    if _rank_among(node, live_peers(node, now)) < WATCHERS:
+        return remaining_of(node, now) < QUORUM_SECONDS
+    return remaining_of(node, now) < FALLBACK_SECONDS
+
+
+def vouchers_of(node: Node, now: Instant) -> Vouchers:
+    """Who vouched to this instance, with the seconds that remain."""
+    valid = [
+        (name, until.remaining(now))
+        for name, until in node.relay.vouched_until.items()
+        if not until.has_passed(now)
+    ]
+    return tuple(valid[:MAX_VOUCHERS])
 
 
 def notice_recipients(node: Node, now: Instant) -> tuple[str, ...]:
@@ -123,12 +140,6 @@
     )
 
 
-def _needs_quorum(node: Node, now: Instant) -> bool:
-    if _rank_among(node, live_peers(node, now)) < WATCHERS:
-        return remaining_of(node, now) < QUORUM_SECONDS
-    return not remaining_of(node, now) and not _is_in_grace(node, now)
-
-
 def _candidates(node: Node, now: Instant) -> tuple[str, ...]:
     if _is_in_grace(node, now):
         return tuple(node.members.listed)
--- a/chervilstep/queries/revisions.py
+++ b/chervilstep/queries/revisions.py
@@ -5,12 +5,9 @@
 from typing import Final
 
 from chervilstep.configuration import Configuration, Section
+from chervilstep.fields import MAX_PAIRS
 from chervilstep.platform import PlatformAnswer
-from chervilstep.sync_messages import (
-    MAX_PAGE_ENTRIES,
-    Revisions,
-    RevisionsPage,
-)
+from chervilstep.sync_messages import Revisions, RevisionsPage
 
 FINGERPRINT_BYTES: Final = 8
 
@@ -53,7 +50,7 @@
     )
     above = known[entries - 1][0] - 1 if len(known) > entries else 0
     page = [(name, revision) for revision, name in known if revision > above]
-    return RevisionsPage(below, above, tuple(page[:MAX_PAGE_ENTRIES]))
+    return RevisionsPage(below, above, tuple(page[:MAX_PAIRS]))
 
 
 def newer_than_page(
--- a/chervilstep/relay.py
+++ b/chervilstep/relay.py
@@ -178,12 +178,22 @@
 
     def vouch(self, peer: str, until: Deadline) -> None:
         """Notes that a peer knows of nothing else."""
-        self._vouched_until[peer] = until
+        known = self._vouched_until.get(peer)
+        if known is None or known.at < until.at:
+            self._vouched_until[peer] = until
 
     def distrust(self, peer: str) -> None:
         """Forgets what a peer vouched for."""
         self._vouched_until.pop(peer, None)
 
+    def forget_expired(self, now: Instant) -> None:
+        """Forgets who vouched too long ago."""
+        self._vouched_until = {
+            peer: until
+            for peer, until in self._vouched_until.items()
+            if not until.has_passed(now)
+        }
+
     def begin(self, transfer: Transfer) -> None:
         """Notes a transfer; it replaces one of the same section."""
         self._transfers[transfer.name] = transfer
--- a/chervilstep/sync_messages.py
+++ b/chervilstep/sync_messages.py
@@ -1,19 +1,19 @@
 """Messages by which instances keep their configuration equal."""
 
-from typing import Final, TypeAlias, TypeVar, final
+from typing import Final, TypeAlias, final
 
-from chervilstep.exceptions import PeerError
+from chervilstep.fields import checked, checked_pairs
 from chervilstep.hooks import MESSAGES
 from chervilstep.messages import Message
 
-Field = TypeVar('Field')
 #: The names of sections with their revisions.
 Revisions: TypeAlias = tuple[tuple[str, int], ...]
 
+#: Names of instances with the seconds for which they vouch.
+Vouchers: TypeAlias = tuple[tuple[str, float], ...]
+
 #: How many revisions a page or a notice lists.
 PAGE_ENTRIES: Final = 100
-#: A page runs on while revisions are equal, up to this bound.
-MAX_PAGE_ENTRIES: Final = 1000
 
 
 @final
@@ -21,20 +21,26 @@
 class ConfigInquiry(Message):
     """Asks a peer whether it knows of the same sections."""
 
-    __slots__ = ('_number',)
+    __slots__ = ('_number', '_wants_vouchers')
 
     kind = 'config-inquiry'
-    fields = ('number',)
+    fields = ('number', 'wants_vouchers')
 
-    def __init__(self, number: int) -> None:
+    def __init__(self, number: int, wants_vouchers: bool) -> None:
         """Creates the inquiry with the number that the answer repeats."""
-        self._number = _checked(number, int)
+        self._number = checked(number, int)
+        self._wants_vouchers = bool(wants_vouchers)
 
     @property
     def number(self) -> int:
         """The number of the inquiry."""
         return self._number
 
+    @property
+    def wants_vouchers(self) -> bool:
+        """Whether the answer shall tell what the peer has from others."""
+        return self._wants_vouchers
+
 
 @final
 @MESSAGES.register('config-summary')
@@ -47,6 +53,7 @@
         '_number',
         '_remaining',
         '_seen_revision',
+        '_vouchers',
     )
 
     kind = 'config-summary'
@@ -56,6 +63,7 @@
         'remaining',
         'is_introduced',
         'seen_revision',
+        'vouchers',
     )
 
     def __init__(
@@ -65,13 +73,15 @@
         remaining: float,
         is_introduced: bool,
         seen_revision: int,
+        vouchers: Vouchers,
     ) -> None:
         """Creates the answer to the inquiry called ``number``."""
-        self._number = _checked(number, int)
-        self._fingerprint = _checked(fingerprint, bytes)
-        self._remaining = float(_checked(remaining, (int, float)))
+        self._number = checked(number, int)
+        self._fingerprint = checked(fingerprint, bytes)
+        self._remaining = float(checked(remaining, (int, float)))
         self._is_introduced = bool(is_introduced)
-        self._seen_revision = _checked(seen_revision, int)
+        self._seen_revision = checked(seen_revision, int)
+        self._vouchers = checked_pairs(vouchers, (int, float))
 
     @property
     def number(self) -> int:
@@ -98,6 +108,11 @@
         """The platform's highest revision that the sender knows of."""
         return self._seen_revision
 
+    @property
+    def vouchers(self) -> Vouchers:
+        """Who vouched to the sender, with the seconds that remain."""
+        return self._vouchers
+
 
 @final
 @MESSAGES.register('revisions-request')
@@ -111,7 +126,7 @@
 
     def __init__(self, below: int | None) -> None:
         """Asks for those lower than ``below``, or for the newest."""
-        self._below = None if below is None else _checked(below, int)
+        self._below = None if below is None else checked(below, int)
 
     @property
     def below(self) -> int | None:
@@ -133,9 +148,9 @@
         self, below: int | None, above: int, revisions: Revisions
     ) -> None:
         """Lists those under ``below`` and over ``above``, zero at the end."""
-        self._below = None if below is None else _checked(below, int)
-        self._above = _checked(above, int)
-        self._revisions = _checked_revisions(revisions)
+        self._below = None if below is None else checked(below, int)
+        self._above = checked(above, int)
+        self._revisions = checked_pairs(revisions, int)
 
     @property
     def below(self) -> int | None:
@@ -165,7 +180,7 @@
 
     def __init__(self, revisions: Revisions) -> None:
         """Tells of these ``revisions``."""
-        self._revisions = _checked_revisions(revisions)
+        self._revisions = checked_pairs(revisions, int)
 
     @property
     def revisions(self) -> Revisions:
@@ -185,9 +200,9 @@
 
     def __init__(self, name: str, revision: int, offset: int) -> None:
         """Asks for what follows ``offset`` of the compressed text."""
-        self._name = _checked(name, str)
-        self._revision = _checked(revision, int)
-        self._offset = _checked(offset, int)
+        self._name = checked(name, str)
+        self._revision = checked(revision, int)
+        self._offset = checked(offset, int)
 
     @property
     def name(self) -> str:
@@ -219,11 +234,11 @@
         self, name: str, revision: int, offset: int, size: int, data: bytes
     ) -> None:
         """Creates a part; a ``size`` of zero tells of a deletion."""
-        self._name = _checked(name, str)
-        self._revision = _checked(revision, int)
-        self._offset = _checked(offset, int)
-        self._size = _checked(size, int)
-        self._data = _checked(data, bytes)
+        self._name = checked(name, str)
+        self._revision = checked(revision, int)
+        self._offset = checked(offset, int)
+        self._size = checked(size, int)
+        self._data = checked(data, bytes)
 
     @property
     def name(self) -> str:
@@ -249,20 +264,3 @@
     def data(self) -> bytes:
         """A part of the compressed text."""
         return self._data
-
-
-def _checked(
-    found: Field, expected: type[object] | tuple[type[object], ...]
-) -> Field:
-    if isinstance(found, bool) or not isinstance(found, expected):
-        raise PeerError(f'unexpected {type(found).__name__} in a message')
-    return found
-
-
-def _checked_revisions(found: Revisions) -> Revisions:
-    if len(found) > MAX_PAGE_ENTRIES:
-        raise PeerError('too many revisions in a message')
-    return tuple(
-        (_checked(name, str), _checked(revision, int))
-        for name, revision in found
-    )
