--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -217,7 +217,7 @@
                 if name in neighbours(node.members):
                     alive_until = new_deadline(self.now, ALIVE_SECONDS)
                     node.members.view(name).hear(
-                        alive_until, is_leaving=False, load=0
+                        alive_until, is_ready=True, is_leaving=False, load=0
                     )
 
     def are_connected(self, name, peer):
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -41,11 +41,9 @@
     async def scenario():
         async with a_deployment(tmp_path, 1) as (deployment, caller):
             await until_met(caller, 200)
-            sections = section_values(document(deployment.topology, {}, ''))
-            sections['config/customers'] = sections['config/customers'].replace(
-                '[customers.fletcher]', '[customers.fletcher-gone]'
-            )
-            await deployment.put(sections)
+            texts = document(deployment.topology, {}, '')
+            revoked = without_keys(texts[CUSTOMERS], 'fletcher')
+            await deployment.put({f'config/{CUSTOMERS}': revoked})
             await until_met(caller, 401)
 
     asyncio.run(scenario())
