Show operators what happens: status, explain, burn report, metrics

Cause: an instance counted, but nobody could see it. Change: each reply is recorded for its service and its customer in rings of minutes; the report adds up all instances over four windows and fires by multi-window burn rates. Metrics go through OpenTelemetry and are collected by a handler of the loop. explain walks the real checks and the real choice for a customer named by its name. Text, JSON and an HTML page with a plot.

--- a/chervilstep/adapters/admin.py
+++ b/chervilstep/adapters/admin.py
@@ -6,8 +6,10 @@
 
 from tornado import web
 
+from chervilstep.adapters.metrics import CONTENT_TYPE, Metrics, new_metrics
 from chervilstep.hooks import STATUS_PARTS
 from chervilstep.node import Node
+from chervilstep.queries.explaining import explain
 from chervilstep.types import Instant
 
 
@@ -54,12 +56,58 @@
         self.write('ready\n' if is_ready else 'not ready\n')
 
 
+@final
+class MetricsHandler(web.RequestHandler):
+    """Answers the metrics in the Prometheus text format."""
+
+    __slots__ = ('_metrics',)
+
+    def initialize(self, metrics: Metrics) -> None:
+        """Takes the instruments to collect."""
+        self._metrics = metrics
+
+    def get(self) -> None:
+        """Writes every metric."""
+        self.set_header('Content-Type', CONTENT_TYPE)
+        self.write(self._metrics.exposition())
+
+
+@final
+class ExplainHandler(web.RequestHandler):
+    """Answers where a request would go."""
+
+    __slots__ = ('_clock', '_node')
+
+    def initialize(self, node: Node, clock: Callable[[], Instant]) -> None:
+        """Takes the node that would decide."""
+        self._node = node
+        self._clock = clock
+
+    def get(self) -> None:
+        """Writes the steps and the outcome as JSON."""
+        explanation = explain(
+            self._node,
+            self.get_query_argument('method', 'GET'),
+            self.get_query_argument('path'),
+            self.get_query_argument('customer', ''),
+            self._clock(),
+        )
+        self.write({'steps': explanation.steps, 'outcome': explanation.outcome})
+
+
 def new_admin(node: Node, clock: Callable[[], Instant]) -> web.Application:
     """Creates the operators' endpoint of a node."""
+    shown = {'node': node, 'clock': clock}
     return web.Application(
         [
             ('/health', HealthHandler, {'node': node}),
-            ('/status', StatusHandler, {'node': node, 'clock': clock}),
+            ('/status', StatusHandler, shown),
+            ('/explain', ExplainHandler, shown),
+            (
+                '/metrics',
+                MetricsHandler,
+                {'metrics': new_metrics(node, clock)},
+            ),
         ],
         log_function=lambda handler: None,
     )
--- a/chervilstep/adapters/dispatcher.py
+++ b/chervilstep/adapters/dispatcher.py
@@ -6,7 +6,7 @@
 
 from chervilstep.calls import Attempt, Call, Ending, Outcome, Reply
 from chervilstep.commands import attempting as attempts
-from chervilstep.commands import budget
+from chervilstep.commands import budget, replying
 from chervilstep.commands import queueing as queue_commands
 from chervilstep.node import Node
 from chervilstep.progress import Progress, new_progress
@@ -54,9 +54,12 @@
         now = self._clock()
         ticket = admission.admit(self._node, call, now)
         if isinstance(ticket, Refusal):
+            replying.record_refusal(self._node, ticket)
             return ticket
         attempts.charge(self._node, ticket, now)
-        return await self._run(new_progress(ticket))
+        reply = await self._run(new_progress(ticket))
+        replying.record_reply(self._node, ticket, reply, self._clock())
+        return reply
 
     def wake(self) -> None:
         """Serves the queues after a change of configuration or of loads."""
--- /dev/null
+++ b/chervilstep/cli/explain.py
@@ -0,0 +1,25 @@
+"""Explains the decision for one request."""
+
+import sys
+
+from chervilstep.adapters.operators import ask_all
+from chervilstep.cli.registry import SUBCOMMANDS
+
+
+@SUBCOMMANDS.register('explain')
+def explain(
+    admin: str, path: str, *, method: str = 'GET', customer: str = ''
+) -> int:
+    """Explains where a request would go now, or why it would be refused.
+
+    :param admin: admin address (ip:port) of the instance to ask
+    :param path: path of the request
+    :param method: HTTP method of the request
+    :param customer: name of the customer whose key it would carry
+    """
+    query = {'path': path, 'method': method, 'customer': customer}
+    answer = ask_all((admin,), '/explain', query)[admin]
+    for step in answer['steps']:
+        sys.stdout.write(f'{step}\n')
+    sys.stdout.write(f'=> {answer["outcome"]}\n')
+    return 0
--- /dev/null
+++ b/chervilstep/commands/replying.py
@@ -0,0 +1,48 @@
+"""Records what each call was answered."""
+
+from chervilstep.calls import Answer, Reply, Ticket
+from chervilstep.hooks import every
+from chervilstep.node import Node
+from chervilstep.queries.indicators import INDICATORS
+from chervilstep.refusals import Refusal
+from chervilstep.types import Instant
+
+
+def record_refusal(node: Node, refusal: Refusal) -> None:
+    """Counts a call that was refused before it was admitted."""
+    node.counters.add('refusals', reason=refusal.reason)
+
+
+def record_reply(
+    node: Node, ticket: Ticket, reply: Reply, now: Instant
+) -> None:
+    """Counts what an admitted call met, and how long it took."""
+    service = ticket.route.service
+    seconds = now - ticket.arrived_at
+    if isinstance(reply, Answer):
+        node.counters.add('answers', service=service)
+        node.latencies.add(service, seconds)
+    else:
+        record_refusal(node, reply)
+    for name in INDICATORS.names:
+        is_good = INDICATORS.find(name)(ticket, reply, seconds)
+        if is_good is not None:
+            _add(node, name, ticket, now, is_good=is_good)
+
+
+@every(60, 'burn-subjects')
+def forget_subjects(node: Node, now: Instant) -> None:
+    """Drops the records of services and customers that are gone."""
+    services = frozenset(node.snapshot.services)
+    node.burn.keep(services, frozenset(node.snapshot.customers))
+    node.latencies.keep(services)
+
+
+def _add(
+    node: Node, indicator: str, ticket: Ticket, now: Instant, *, is_good: bool
+) -> None:
+    service = ticket.route.service
+    node.burn.add((indicator, 'service', service), now, is_good=is_good)
+    if ticket.customer is not None:
+        key = (indicator, 'customer', ticket.customer_name)
+        node.burn.add(key, now, is_good=is_good)
--- a/chervilstep/exceptions.py
+++ b/chervilstep/exceptions.py
@@ -42,3 +42,9 @@
     """A section of the document has faults; the message lists all of them."""
 
     __slots__ = ()
+
+
+class OperatorError(ChervilstepError):
+    """An instance did not answer an operator's question."""
+
+    __slots__ = ()
--- a/chervilstep/hooks.py
+++ b/chervilstep/hooks.py
@@ -4,12 +4,13 @@
 of them and knows none by name.
 """
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Final, Generic, TypeAlias, TypeVar, final
 
 from chervilstep.calls import Attempt, Outcome, Ticket
 from chervilstep.messages import Message
 from chervilstep.node import Node
+from chervilstep.readings import Reading
 from chervilstep.refusals import Refusal
 from chervilstep.registry import Registry, new_registry
 from chervilstep.snapshot import Service, Upstream
@@ -85,6 +86,8 @@
 ]
 #: Queries that describe a part of the state for operators, as JSON values.
 Describe: TypeAlias = Callable[[Node, Instant], object]
+#: Queries that read the levels of one gauge.
+Gauge: TypeAlias = Callable[[Node, Instant], Iterable[Reading]]
 
 CHECKS: Final[Steps[Check]] = Steps()
 CHARGES: Final[Steps[Charge]] = Steps()
@@ -100,6 +103,8 @@
 FAREWELLS: Final[Steps[Periodic]] = Steps()
 #: The parts of the status page by name.
 STATUS_PARTS: Final[Registry[Describe]] = new_registry('status part')
+#: The gauges among the metrics by name.
+GAUGES: Final[Registry[Gauge]] = new_registry('gauge')
 POLICIES: Final[Registry[Policy]] = new_registry('policy')
 
 
--- a/chervilstep/node.py
+++ b/chervilstep/node.py
@@ -4,8 +4,10 @@
 from typing import final
 
 from chervilstep.board import Board
+from chervilstep.burn import BurnLedger
 from chervilstep.configuration import Configuration
 from chervilstep.counters import Counters
+from chervilstep.latencies import Latencies
 from chervilstep.members import Members
 from chervilstep.messages import Outbox
 from chervilstep.paths import Paths
@@ -28,8 +30,10 @@
 
     __slots__ = (
         '_board',
+        '_burn',
         '_configuration',
         '_counters',
+        '_latencies',
         '_members',
         '_outbox',
         '_relay',
@@ -50,6 +54,8 @@
         self._members = Members(settings.name)
         self._board = Board()
         self._counters = Counters()
+        self._burn = BurnLedger()
+        self._latencies = Latencies()
         self._outbox = Outbox()
         self._relay = Relay()
         self._shares = Shares()
@@ -93,6 +99,16 @@
         """Counts of what happened."""
         return self._counters
 
+    @property
+    def burn(self) -> BurnLedger:
+        """Counts of good and bad events for the service levels."""
+        return self._burn
+
+    @property
+    def latencies(self) -> Latencies:
+        """How long answers take."""
+        return self._latencies
+
     @property
     def outbox(self) -> Outbox:
         """Messages for peers that were not sent yet."""
--- /dev/null
+++ b/tests/test_burning.py
@@ -0,0 +1,159 @@
+"""Tests of the service-level records, the burn report and the metrics."""
+
+import json
+from typing import Any
+
+import pytest
+
+from chervilstep import cmdline
+from chervilstep.adapters.capabilities import load_capabilities
+from chervilstep.adapters.metrics import new_metrics
+from chervilstep.adapters.pages import burn_page
+from chervilstep.burn import KEPT_MINUTES, SECONDS_PER_MINUTE, Series
+from chervilstep.calls import Answer
+from chervilstep.commands.replying import forget_subjects, record_reply
+from chervilstep.queries.burning import describe_burn, merge_burn
+from chervilstep.queries.explaining import explain
+from chervilstep.refusals import (
+    NO_UPSTREAM,
+    RATE_EXCEEDED,
+    UPSTREAM_LOST,
+)
+from tests.builders import (
+    a_node,
+    a_route,
+    a_service,
+    a_snapshot,
+    a_stocked_node,
+    a_ticket,
+)
+
+load_capabilities()
+
+GOOD = Answer(200, 'OK', (), b'')
+
+
+def burn_of(node, now) -> Any:
+    return describe_burn(node, now)
+
+
+def events(series, minutes, now):
+    found = series.events(minutes, now)
+    return found.good, found.bad
+
+
+def test_a_series_forgets_minute_by_minute():
+    series = Series()
+    series.add(0, is_good=True)
+    series.add(SECONDS_PER_MINUTE, is_good=False)
+    assert events(series, 5, SECONDS_PER_MINUTE) == (1, 1)
+    assert events(series, 1, SECONDS_PER_MINUTE) == (0, 1)
+    assert events(series, 5, 5 * SECONDS_PER_MINUTE) == (0, 1)
+    series.add((KEPT_MINUTES + 1) * SECONDS_PER_MINUTE, is_good=True)
+    late = (KEPT_MINUTES + 1) * SECONDS_PER_MINUTE
+    assert events(series, KEPT_MINUTES, late) == (1, 0)
+
+
+def test_a_series_read_long_after_its_last_event_is_empty():
+    series = Series()
+    series.add(0, is_good=True)
+    late = 10 * KEPT_MINUTES * SECONDS_PER_MINUTE
+    assert events(series, KEPT_MINUTES, late) == (0, 0)
+
+
+@pytest.mark.parametrize(
+    ('reply', 'seconds', 'availability', 'latency'),
+    [
+        (GOOD, 0.1, [1, 0], [1, 0]),
+        (GOOD, 0.9, [1, 0], [0, 1]),
+        (Answer(500, 'Broken', (), b''), 0.1, [0, 1], [1, 0]),
+        (UPSTREAM_LOST, 0.1, [0, 1], None),
+        (NO_UPSTREAM, 0.1, [0, 1], None),
+        (RATE_EXCEEDED, 0.1, None, None),
+    ],
+)
+def test_a_reply_counts_for_its_service_and_customer(
+    reply, seconds, availability, latency
+):
+    node = a_node()
+    record_reply(node, a_ticket(now=0), reply, seconds)
+    described = burn_of(node, seconds)
+    for subject in ('service/strike', 'customer/fletcher'):
+        for name, expected in (
+            ('availability', availability),
+            ('latency', latency),
+        ):
+            found = described.get(f'{name}/{subject}', {'5m': None})
+            assert found['5m'] == expected
+
+
+def test_burn_adds_up_over_instances_and_pages():
+    nodes = [a_node(name='a'), a_node(name='b')]
+    for node in nodes:
+        for _ in range(49):
+            record_reply(node, a_ticket(now=0), GOOD, 0.1)
+        record_reply(node, a_ticket(now=0), UPSTREAM_LOST, 0.1)
+    rows = merge_burn(burn_of(node, 1) for node in nodes)
+    worst = rows[0]
+    assert (worst.indicator, worst.counts['1h'].bad) == ('availability', 2)
+    assert worst.rates['1h'] == pytest.approx(20)
+    assert worst.alert == 'page'
+    assert rows[-1].alert == ''
+    assert 'fletcher' in burn_page(rows)
+
+
+def test_subjects_that_are_gone_are_forgotten():
+    node = a_node()
+    record_reply(node, a_ticket(), GOOD, 0.1)
+    node.configuration.publish(a_snapshot(services=[a_service('curing')]))
+    forget_subjects(node, 1)
+    assert all('/service/' not in name for name in burn_of(node, 1))
+
+
+def test_metrics_hold_counters_and_gauges_and_no_key():
+    node = a_node()
+    record_reply(node, a_ticket(now=0), GOOD, 0.25)
+    record_reply(node, a_ticket(now=0), RATE_EXCEEDED, 0.25)
+    metrics = new_metrics(node, lambda: 1)
+    text = metrics.exposition().decode()
+    text = metrics.exposition().decode()
+    assert 'chervilstep_answers_total{' in text
+    assert 'reason="rate-exceeded"' in text
+    assert 'chervilstep_latency_seconds{' in text
+    assert a_ticket().call.key_digest not in text
+
+
+@pytest.mark.parametrize(
+    ('path', 'customer', 'outcome'),
+    [
+        ('/strike/1', 'fletcher', 'by policy random'),
+        ('/strike/1', '', 'missing-key'),
+        ('/strike/1', 'beca', 'unknown-key'),
+        ('/nowhere/1', 'fletcher', 'unknown-route'),
+    ],
+)
+def test_an_explanation_ends_in_the_outcome(path, customer, outcome):
+    node = a_stocked_node(a_snapshot(routes=[a_route()]))
+    node.configuration.confirm(a_ticket().deadline)
+    explanation = explain(node, 'GET', path, customer, 1)
+    assert outcome in explanation.outcome
+
+
+def test_an_instance_that_is_down_gives_an_exit_code(capsys):
+    assert cmdline.main(['status', '127.0.0.1:1']) == 2
+    assert '127.0.0.1:1' in capsys.readouterr().err
+
+
+def test_a_settings_file_lists_every_fault(tmp_path, capsys):
+    path = tmp_path / 'settings.toml'
+    path.write_text('nmae = "entry-1"\nzone = 3\n')
+    assert cmdline.main(['serve', '--settings', str(path)]) == 2
+    printed = capsys.readouterr().err
+    assert "nmae: unknown name; did you mean 'name'?" in printed
+    assert 'zone: must be a non-empty string' in printed
+    assert 'entry_address: is missing' in printed
+
+
+def test_no_reply_makes_no_series():
+    node = a_node()
+    assert json.dumps(burn_of(node, 0)) == '{}'
