Lend rates and bursts out of leased shards, in place of equal shares

Cause: instances that read different lists held shares of different sizes, and a small burst was cut into parts of which none admits a call.

--- a/chervilstep/hooks.py
+++ b/chervilstep/hooks.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Iterator
 from typing import Final, Generic, TypeAlias, TypeVar, final
 
-from chervilstep.calls import Attempt, Outcome, Ticket
+from chervilstep.calls import Attempt, Call, Outcome, Ticket
 from chervilstep.messages import Message
 from chervilstep.node import Node
 from chervilstep.refusals import Refusal
@@ -73,6 +73,8 @@
 Check: TypeAlias = Callable[[Node, Ticket, Instant], Refusal | None]
 #: Commands that charge a ticket which every check let pass.
 Charge: TypeAlias = Callable[[Node, Ticket, Instant], None]
+#: Commands told of a call that was refused before it could run.
+OnRefusal: TypeAlias = Callable[[Node, Call, Refusal, Instant], None]
 #: Commands told of the start of an attempt.
 OnStart: TypeAlias = Callable[[Node, Attempt], None]
 #: Commands told of the end of an attempt.
@@ -88,6 +90,7 @@
 
 CHECKS: Final[Steps[Check]] = Steps()
 CHARGES: Final[Steps[Charge]] = Steps()
+REFUSED_CALLS: Final[Steps[OnRefusal]] = Steps()
 ATTEMPT_STARTS: Final[Steps[OnStart]] = Steps()
 ATTEMPT_ENDS: Final[Steps[OnEnd]] = Steps()
 #: Commands by the kind of the message that they take in.
--- a/chervilstep/node.py
+++ b/chervilstep/node.py
@@ -1,18 +1,23 @@
 """The whole state of one entry instance."""
 
 import random
-from typing import final
+from typing import Final, final
 
 from chervilstep.board import Board
 from chervilstep.configuration import Configuration
 from chervilstep.counters import Counters
+from chervilstep.leases import Holder
 from chervilstep.members import Members
 from chervilstep.messages import Outbox
 from chervilstep.settings import Settings
 from chervilstep.shares import Shares
 from chervilstep.snapshot import Snapshot
+from chervilstep.voting import Leases
 from chervilstep.waiting import Waiting
 
+#: Enough that no two processes draw the same incarnation.
+INCARNATION_BITS: Final = 52
+
 
 @final
 class Node:
@@ -26,6 +31,7 @@
         '_board',
         '_configuration',
         '_counters',
+        '_leases',
         '_members',
         '_outbox',
         '_rng',
@@ -43,7 +49,9 @@
         self._board = Board()
         self._counters = Counters()
         self._outbox = Outbox()
-        self._shares = Shares()
+        incarnation = rng.getrandbits(INCARNATION_BITS)
+        self._shares = Shares(incarnation)
+        self._leases = Leases(Holder(settings.name, incarnation))
         self._waiting = Waiting()
 
     @property
@@ -86,6 +94,11 @@
         """Messages for peers that were not sent yet."""
         return self._outbox
 
+    @property
+    def leases(self) -> Leases:
+        """The shards of the customers' limits that this instance holds."""
+        return self._leases
+
     @property
     def shares(self) -> Shares:
         """The customers' tokens that this instance may spend."""
--- a/chervilstep/shares.py
+++ b/chervilstep/shares.py
@@ -4,6 +4,7 @@
 from operator import attrgetter
 from typing import final
 
+from chervilstep.loans import Account, Book, Demand
 from chervilstep.types import Deadline, Instant
 
 
@@ -132,19 +133,38 @@
 
 @final
 class Shares:
-    """The buckets of this instance by the customer's name."""
+    """The buckets, the loans and the demand of this instance."""
 
-    __slots__ = ('_buckets',)
+    __slots__ = ('_accounts', '_book', '_buckets', '_demands', '_sequence')
 
-    def __init__(self) -> None:
-        """Starts without a bucket."""
+    def __init__(self, sequence: int) -> None:
+        """Starts with nothing; requests are numbered from ``sequence``."""
+        self._sequence = sequence
         self._buckets: dict[str, Bucket] = {}
+        self._demands: dict[str, Demand] = {}
+        self._accounts: dict[str, Account] = {}
+        self._book = Book()
 
     @property
     def buckets(self) -> Mapping[str, Bucket]:
         """The buckets by the customer's name."""
         return self._buckets
 
+    @property
+    def demands(self) -> Mapping[str, Demand]:
+        """The calls that arrive by the customer's name."""
+        return self._demands
+
+    @property
+    def accounts(self) -> Mapping[str, Account]:
+        """The dealings with the lenders by name."""
+        return self._accounts
+
+    @property
+    def book(self) -> Book:
+        """The loans that this instance gave."""
+        return self._book
+
     def bucket(self, customer: str) -> Bucket:
         """The bucket of ``customer``, created on first use."""
         found = self._buckets.get(customer)
@@ -153,6 +173,28 @@
             self._buckets[customer] = found
         return found
 
+    def demand(self, customer: str) -> Demand:
+        """The demand of ``customer``, created on first use."""
+        found = self._demands.get(customer)
+        if found is None:
+            found = Demand()
+            self._demands[customer] = found
+        return found
+
+    def account(self, lender: str) -> Account:
+        """The dealings with ``lender``, created on first use."""
+        found = self._accounts.get(lender)
+        if found is None:
+            found = Account(self._sequence)
+            self._accounts[lender] = found
+        return found
+
+    def account_sent_at(self, lender: str) -> Instant:
+        """When ``lender`` was last asked for anything."""
+        account = self._accounts.get(lender)
+        return account.sent_at if account else float('-inf')
+
     def forget(self, customer: str) -> None:
-        """Drops the bucket of a customer that is no longer configured."""
+        """Drops what is kept of a customer that is no longer configured."""
         self._buckets.pop(customer, None)
+        self._demands.pop(customer, None)
--- a/chervilstep/types.py
+++ b/chervilstep/types.py
@@ -66,6 +66,12 @@
             return other
         return self
 
+    def later(self, other: 'Deadline') -> 'Deadline':
+        """The later one of two deadlines."""
+        if other.at > self._at:
+            return other
+        return self
+
 
 def new_deadline(now: Instant, seconds: float) -> Deadline:
     """Creates a deadline that lies ``seconds`` after ``now``."""
