--- a/chervilstep/node.py
+++ b/chervilstep/node.py
@@ -9,6 +9,10 @@
 from chervilstep.leases import Holder
 from chervilstep.members import Members
 from chervilstep.messages import Outbox
+from chervilstep.paths import Paths
+from chervilstep.quarantine import Quarantine
+from chervilstep.relay import Relay
+from chervilstep.retries import RetryBudget
 from chervilstep.settings import Settings
 from chervilstep.shares import Shares
 from chervilstep.snapshot import Snapshot
@@ -34,6 +38,10 @@
         '_leases',
         '_members',
         '_outbox',
+        '_relay',
+        '_paths',
+        '_quarantine',
+        '_retries',
         '_rng',
         '_settings',
         '_shares',
@@ -52,7 +60,11 @@
         incarnation = rng.getrandbits(INCARNATION_BITS)
         self._shares = Shares(incarnation)
         self._leases = Leases(Holder(settings.name, incarnation))
+        self._relay = Relay()
         self._waiting = Waiting()
+        self._quarantine = Quarantine()
+        self._paths = Paths()
+        self._retries = RetryBudget()
 
     @property
     def settings(self) -> Settings:
@@ -99,6 +111,26 @@
         """The shards of the customers' limits that this instance holds."""
         return self._leases
 
+    @property
+    def relay(self) -> Relay:
+        """What passes the configuration on between peers."""
+        return self._relay
+
+    @property
+    def retries(self) -> RetryBudget:
+        """The budget of retries and hedges."""
+        return self._retries
+
+    @property
+    def paths(self) -> Paths:
+        """Which connections can be relied on."""
+        return self._paths
+
+    @property
+    def quarantine(self) -> Quarantine:
+        """The requests that may crash upstreams."""
+        return self._quarantine
+
     @property
     def shares(self) -> Shares:
         """The customers' tokens that this instance may spend."""
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -41,6 +41,7 @@
 def a_node(snapshot=None, name='entry-1', zone='akl', seed=1) -> Node:
     node = new_node(a_settings(name, zone), seed)
     node.configuration.publish(snapshot or a_snapshot())
+    node.configuration.confirm(Deadline(math.inf))
     return node
 
 
@@ -97,7 +98,7 @@
     )
 
 
-def a_call(method='GET', target='/strike/1', key=KEY, body=b''):
+def a_call(method='GET', target='/strike/1', key=KEY, body=b'', attempt=1):
     return Call(
         method,
         target,
@@ -105,6 +106,7 @@
         body,
         key_digest=digest_of(key) if key else None,
         deadline=None,
+        attempt=attempt,
     )
 
 
