--- a/chervilstep/adapters/dispatcher.py
+++ b/chervilstep/adapters/dispatcher.py
@@ -2,21 +2,31 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Protocol, TypeAlias, final
-
-from chervilstep.calls import Attempt, Call, Ending, Outcome, Reply
+from typing import Final, Protocol, TypeAlias, final
+
+from chervilstep.calls import (
+    Attempt,
+    Call,
+    Ending,
+    Outcome,
+    Reply,
+    Ticket,
+)
 from chervilstep.commands import attempting as attempts
 from chervilstep.commands import budget, replying
 from chervilstep.commands import queueing as queue_commands
 from chervilstep.node import Node
 from chervilstep.progress import Progress, new_progress
-from chervilstep.queries import admission, queueing, retrying
+from chervilstep.queries import admission, queueing, retrying, shares
 from chervilstep.queries.attempting import new_attempt
 from chervilstep.refusals import Refusal
 from chervilstep.snapshot import Upstream
 from chervilstep.types import Instant, Verdict
 from chervilstep.waiting import Turn, Waiter
 
+#: The pauses before a call that lacks a token is tried again. The first ones
+#: cover a round trip between instances, all of them one to each lender.
+TOKEN_PAUSES_SECONDS: Final = (0.003, 0.005, 0.008, 0.012)
 #: Tells the time in monotonic seconds.
 Clock: TypeAlias = Callable[[], Instant]
 #: Resolves to what a waiting call gets.
@@ -51,12 +61,10 @@
 
     async def handle(self, call: Call) -> Reply:
         """Returns the answer to a call, or why there is none."""
-        now = self._clock()
-        ticket = admission.admit(self._node, call, now)
+        ticket = await self._admit(call)
         if isinstance(ticket, Refusal):
             replying.record_refusal(self._node, ticket)
             return ticket
-        attempts.charge(self._node, ticket, now)
         reply = await self._run(new_progress(ticket))
         replying.record_reply(self._node, ticket, reply, self._clock())
         return reply
@@ -75,6 +83,27 @@
         if wake_at is not None:
             self._wake_by(wake_at)
 
+    async def _admit(self, call: Call) -> Ticket | Refusal:
+        """Charges the call, once the token that it lacks has arrived."""
+        ticket = self._try_to_admit(call)
+        for pause in TOKEN_PAUSES_SECONDS:
+            if not isinstance(ticket, Refusal):
+                break
+            if not shares.may_wait(self._node, call, ticket, self._clock()):
+                break
+            await asyncio.sleep(pause)
+            ticket = self._try_to_admit(call)
+        return ticket
+
+    def _try_to_admit(self, call: Call) -> Ticket | Refusal:
+        now = self._clock()
+        ticket = admission.admit(self._node, call, now)
+        if isinstance(ticket, Refusal):
+            attempts.refuse(self._node, call, ticket, now)
+        else:
+            attempts.charge(self._node, ticket, now)
+        return ticket
+
     async def _run(self, progress: Progress) -> Reply:
         reply: Reply | None = None
         while reply is None:
--- a/chervilstep/node.py
+++ b/chervilstep/node.py
@@ -1,13 +1,14 @@
 """The whole state of one entry instance."""
 
 import random
-from typing import final
+from typing import Final, final
 
 from chervilstep.board import Board
 from chervilstep.burn import BurnLedger
 from chervilstep.configuration import Configuration
 from chervilstep.counters import Counters
 from chervilstep.latencies import Latencies
+from chervilstep.leases import Holder
 from chervilstep.members import Members
 from chervilstep.messages import Outbox
 from chervilstep.paths import Paths
@@ -17,8 +18,12 @@
 from chervilstep.settings import Settings
 from chervilstep.shares import Shares
 from chervilstep.snapshot import Snapshot
+from chervilstep.voting import Leases
 from chervilstep.waiting import Waiting
 
+#: Enough that no two processes draw the same incarnation.
+INCARNATION_BITS: Final = 52
+
 
 @final
 class Node:
@@ -34,6 +39,7 @@
         '_configuration',
         '_counters',
         '_latencies',
+        '_leases',
         '_members',
         '_outbox',
         '_relay',
@@ -57,8 +63,10 @@
         self._burn = BurnLedger()
         self._latencies = Latencies()
         self._outbox = Outbox()
+        incarnation = rng.getrandbits(INCARNATION_BITS)
+        self._shares = Shares(incarnation)
+        self._leases = Leases(Holder(settings.name, incarnation))
         self._relay = Relay()
-        self._shares = Shares()
         self._waiting = Waiting()
         self._quarantine = Quarantine()
         self._paths = Paths()
@@ -114,6 +122,11 @@
         """Messages for peers that were not sent yet."""
         return self._outbox
 
+    @property
+    def leases(self) -> Leases:
+        """The shards of the customers' limits that this instance holds."""
+        return self._leases
+
     @property
     def relay(self) -> Relay:
         """What passes the configuration on between peers."""
