--- a/chervilstep/queries/queueing.py
+++ b/chervilstep/queries/queueing.py
@@ -31,10 +31,14 @@
 def immediate_upstream(
     node: Node, progress: Progress, now: Instant
 ) -> Upstream | None:
-    """Returns an upstream for a call that overtakes nobody."""
+    """Returns an upstream for a call that overtakes nobody.
+
+    Retries that wait for an upstream that they have not tried could not use
+    one that is free, so they hold nobody back.
+    """
     name = progress.ticket.route.service
     queue = node.waiting.queues.get(name)
-    if queue is not None and len(queue):
+    if queue is not None and queue.has_first_tries:
         return None
     return _choose(node, name, progress, now)
 
--- a/chervilstep/waiting.py
+++ b/chervilstep/waiting.py
@@ -212,7 +212,7 @@
 class ServiceQueue:
     """The calls that wait for one service."""
 
-    __slots__ = ('_lanes', '_pace', '_size', '_turns')
+    __slots__ = ('_lanes', '_pace', '_retries', '_size', '_turns')
 
     def __init__(self) -> None:
         """Starts empty."""
@@ -220,6 +220,7 @@
         self._turns = VirtualTime()
         self._pace = Pace()
         self._size = 0
+        self._retries = 0
 
     def __len__(self) -> int:
         """How many calls wait."""
@@ -231,6 +232,11 @@
             for line in lane.lines.values():
                 yield from line
 
+    @property
+    def has_first_tries(self) -> bool:
+        """Whether calls wait that any upstream could serve."""
+        return self._size > self._retries
+
     @property
     def lanes(self) -> Mapping[Priority, Lane]:
         """The waiters by class."""
@@ -252,11 +258,13 @@
             self._pace.restart(waiter.since)
         self._lanes[waiter.priority].add(waiter)
         self._size += 1
+        self._retries += waiter.is_retry
 
     def remove(self, waiter: Waiter) -> None:
         """Takes out a waiter."""
         self._lanes[waiter.priority].remove(waiter)
         self._size -= 1
+        self._retries -= waiter.is_retry
 
     def grant(self, waiter: Waiter, now: Instant) -> None:
         """Takes out a waiter that got its turn, and charges the turn."""
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -97,14 +97,21 @@
     )
 
 
-def a_call(method='GET', target='/strike/1', key=KEY, body=b'', attempt=1):
+def a_call(
+    method='GET',
+    target='/strike/1',
+    key=KEY,
+    body=b'',
+    attempt=1,
+    deadline=None,
+):
     return Call(
         method,
         target,
         (),
         body,
         key_digest=digest_of(key) if key else None,
-        deadline=None,
+        deadline=deadline,
         attempt=attempt,
     )
 
--- a/tests/dispatch_builders.py
+++ b/tests/dispatch_builders.py
@@ -115,3 +115,47 @@
     ]
     service = a_service(upstreams=servers, policy='free-slot')
     return a_stocked_node(a_snapshot(services=[service], **parts), name=name)
+
+
+class Sending:
+    """One attempt that the held pool has not answered yet."""
+
+    def __init__(self, attempt, outcome):
+        self.attempt = attempt
+        self.outcome = outcome
+
+
+class HeldPool:
+    """Holds every attempt until the test ends it; remembers what ran."""
+
+    def __init__(self, loop):
+        self.loop = loop
+        self.held = []
+        self.sent = []
+        self.runs = []
+
+    async def send(self, attempt):
+        sending = Sending(attempt, self.loop.create_future())
+        self.sent.append(attempt)
+        self.held.append(sending)
+        left = attempt.deadline.remaining(self.loop.time())
+        try:
+            async with asyncio.timeout(left):
+                return await sending.outcome
+        except TimeoutError:
+            # The worst case: it ran and only the answer was lost.
+            self.runs.append(attempt)
+            return an_outcome_of(Ending.TIMED_OUT, self.loop.time())
+        except asyncio.CancelledError:
+            self.runs.append(attempt)
+            raise
+        finally:
+            self.held.remove(sending)
+
+    def finish(self, sending, ending, ran):
+        """Ends an attempt; ``ran`` matters when the verdict is in doubt."""
+        verdict = VERDICTS[ending]
+        if verdict is Verdict.RAN or (ran and verdict is Verdict.MAY_HAVE_RUN):
+            self.runs.append(sending.attempt)
+        if not sending.outcome.done():
+            sending.outcome.set_result(an_outcome_of(ending, self.loop.time()))
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -7,8 +7,14 @@
 from chervilstep import refusals
 from chervilstep.calls import Answer, Ending
 from tests.builders import a_call
-from tests.dispatch_builders import FakePool, Step, a_dispatcher, a_slotted_node
-from tests.virtual_loop import run_virtually
+from tests.dispatch_builders import (
+    FakePool,
+    HeldPool,
+    Step,
+    a_dispatcher,
+    a_slotted_node,
+)
+from tests.virtual_loop import VirtualLoop, run_virtually
 
 
 def handle(call, steps=(), node=None):
@@ -131,3 +137,43 @@
     assert in_flight(node) == 0
     assert not node.waiting.body_bytes
     assert not len(node.waiting.queue('strike'))
+
+
+def test_pause_between_grant_and_sending_is_noticed():
+    node = a_slotted_node()
+    loop = VirtualLoop()
+    pool = HeldPool(loop)
+    dispatcher = a_dispatcher(loop, pool, node)
+    tasks = [loop.create_task(dispatcher.handle(a_call())) for _ in range(2)]
+    loop.turn()
+    pool.finish(pool.held[0], Ending.ANSWERED, ran=True)
+    while node.waiting.queue('strike'):
+        loop.turn()
+    loop.jump(60)
+    loop.run_until_complete(asyncio.wait(tasks))
+    assert tasks[1].result() is refusals.DEADLINE_PASSED
+    assert len(pool.sent) == 1
+    loop.close()
+
+
+def test_waiting_retry_holds_nobody_back():
+    node = a_slotted_node(upstreams=2)
+
+    async def run(loop):
+        pool = HeldPool(loop)
+        dispatcher = a_dispatcher(loop, pool, node)
+        calls = [
+            asyncio.ensure_future(dispatcher.handle(a_call())) for _ in '12'
+        ]
+        await asyncio.sleep(0)
+        # The first call may not return to the upstream that shed it.
+        pool.finish(pool.held[0], Ending.SHED, ran=False)
+        await asyncio.sleep(0.001)
+        calls.append(asyncio.ensure_future(dispatcher.handle(a_call())))
+        await asyncio.sleep(0)
+        names = [attempt.upstream.name for attempt in pool.sent]
+        for call in calls:
+            call.cancel()
+        return names
+
+    assert run_virtually(run) == ['strike-1', 'strike-2', 'strike-1']
--- a/tests/virtual_loop.py
+++ b/tests/virtual_loop.py
@@ -41,6 +41,11 @@
     def time(self):
         return self._virtual.now
 
+    def turn(self):
+        """Runs what is ready, once."""
+        self.call_soon(self.stop)
+        self.run_forever()
+
     def jump(self, seconds):
         """Moves the clock as a pause of the process would."""
         self._virtual.now += seconds
