Bound the queue at the cost of whoever holds most of it

Cause: a full queue turned everybody away alike, and the estimate of the wait took one long gap for a slow queue.

Change: a full queue puts out the last call of the customer that holds most, bodies counted; the pace is a decaying mean of grants over the time that calls waited, forgotten when the queue was idle.

Ruled out: a mean of the single intervals, which a burst of grants after a gap misleads in both directions.

--- a/chervilstep/adapters/dispatcher.py
+++ b/chervilstep/adapters/dispatcher.py
@@ -12,7 +12,7 @@
 from chervilstep.progress import Progress, new_progress
 from chervilstep.queries import admission, queueing, retrying
 from chervilstep.queries.attempting import new_attempt
-from chervilstep.refusals import Refusal
+from chervilstep.refusals import QUEUE_FULL, Refusal
 from chervilstep.snapshot import Upstream
 from chervilstep.types import Instant, Verdict
 from chervilstep.waiting import Turn, Waiter
@@ -94,6 +94,9 @@
         upstream = queueing.immediate_upstream(self._node, progress, now)
         if upstream is not None:
             return self._start(progress, upstream, now)
+        evictee = queueing.evictee(self._node, progress)
+        if evictee is not None:
+            self._take_turn(Turn(evictee, QUEUE_FULL), now)
         refusal = queueing.objection(self._node, progress, now)
         if refusal is not None:
             return refusal
--- a/chervilstep/queries/queueing.py
+++ b/chervilstep/queries/queueing.py
@@ -1,5 +1,6 @@
 """Who waits, who is next, and who cannot be served in time."""
 
+from collections import Counter
 from collections.abc import Iterator
 from typing import Final
 
@@ -24,6 +25,8 @@
 MAX_WAITERS: Final = 1024
 #: Bodies that one instance holds for waiting calls.
 MAX_BODY_BYTES: Final = 48 * 1024 * 1024
+#: A held body of this size weighs as much as another waiter.
+BODY_BYTES_PER_WAITER: Final = MAX_BODY_BYTES // MAX_WAITERS
 #: Waiting calls look again after this time, since knowledge of loads expires.
 RECHECK_SECONDS: Final = 0.05
 
@@ -84,20 +87,36 @@
     return len(queue) >= MAX_WAITERS
 
 
+def evictee(node: Node, progress: Progress) -> Waiter | None:
+    """Returns the waiter that makes room for a call in a full queue.
+
+    It is the last one of the customer that holds the most of the queue,
+    unless that is the customer of the call itself.
+    """
+    queue = node.waiting.queue(progress.ticket.route.service)
+    if not is_full(node, queue, progress):
+        return None
+    held = Counter(waiter.customer for waiter in queue)
+    for waiter in queue:
+        held[waiter.customer] += waiter.body_bytes // BODY_BYTES_PER_WAITER
+    heaviest, most = held.most_common(1)[0] if held else ('', 0)
+    if most <= held[progress.ticket.customer_name] + 1:
+        return None
+    lines = [lane.lines.get(heaviest) for lane in queue.lanes.values()]
+    return next(line[-1] for line in reversed(lines) if line)
+
+
 def expected_wait(
     queue: ServiceQueue, progress: Progress, now: Instant
 ) -> float:
     """Estimates the seconds until a new waiter would be granted.
 
-    Zero while nothing is known of the pace. A queue that has stopped looks
-    slower with every second that it stands still.
+    Zero while nothing is known of the pace, and for retries, which go first.
+    A queue that has stopped looks slower the longer it stands still.
     """
-    pace = queue.pace
-    if pace.interval_seconds is None or pace.last_at is None:
+    interval = queue.pace.interval(now)
+    if interval is None or progress.tried:
         return 0
-    interval = pace.interval_seconds
-    if len(queue):
-        interval = max(interval, now - pace.last_at)
     return interval * turns_ahead(queue, progress)
 
 
--- a/chervilstep/waiting.py
+++ b/chervilstep/waiting.py
@@ -1,5 +1,6 @@
 """The calls that wait for an upstream, in fair order."""
 
+import math
 from collections import deque
 from collections.abc import Iterator, Mapping
 from typing import Final, final
@@ -17,8 +18,11 @@
 }
 #: Tags of keys that have not waited recently are forgotten above this.
 MAX_TAGS: Final = 1024
-#: How much the newest interval between two grants counts in the mean.
-GRANT_SMOOTHING: Final = 0.1
+#: The pace of a queue is a mean over about this time.
+PACE_SECONDS: Final = 2
+MIN_DECAY: Final = 1e-9
+#: Fewer recent grants than this tell nothing of the pace.
+MIN_GRANTS: Final = 5
 
 
 @final
@@ -127,42 +131,42 @@
 
 @final
 class Pace:
-    """How fast a queue moves: the mean interval between two grants."""
+    """How fast a queue moves: grants, and the time that calls waited for them.
 
-    __slots__ = ('_interval_seconds', '_last_at')
+    Both sums decay, so that the recent past counts most, and a burst of
+    grants after a gap counts as what it is.
+    """
+
+    __slots__ = ('_grants', '_last_at', '_seconds')
 
     def __init__(self) -> None:
         """Starts without an observation."""
-        self._interval_seconds: float | None = None
-        self._last_at: Instant | None = None
-
-    @property
-    def interval_seconds(self) -> float | None:
-        """The mean interval while calls wait, or None before the first."""
-        return self._interval_seconds
-
-    @property
-    def last_at(self) -> Instant | None:
-        """When a waiting call was last granted an upstream."""
-        return self._last_at
+        self._grants = float(0)
+        self._seconds = float(0)
+        self._last_at: Instant = 0
+
+    def interval(self, now: Instant) -> float | None:
+        """The mean seconds between two grants, or None while unknown."""
+        if self._grants < MIN_GRANTS:
+            return None
+        gap = max(0, now - self._last_at)
+        kept = _decay(gap)
+        return (self._seconds * kept + gap) / (self._grants * kept)
 
     def restart(self, now: Instant) -> None:
         """Starts the next interval: the queue was empty until ``now``."""
+        kept = _decay(max(0, now - self._last_at))
+        self._grants *= kept
+        self._seconds *= kept
         self._last_at = now
 
     def note(self, now: Instant) -> None:
         """Takes in a grant."""
-        if self._last_at is not None:
-            self._smooth(now - self._last_at)
+        gap = max(0, now - self._last_at)
+        self._grants = self._grants * _decay(gap) + 1
+        self._seconds = self._seconds * _decay(gap) + gap
         self._last_at = now
 
-    def _smooth(self, interval: float) -> None:
-        if self._interval_seconds is None:
-            self._interval_seconds = interval
-            return
-        change = interval - self._interval_seconds
-        self._interval_seconds += GRANT_SMOOTHING * change
-
 
 @final
 class Lane:
@@ -325,3 +329,8 @@
         for name in tuple(self._queues):
             if name not in services and not len(self._queues[name]):
                 self._queues.pop(name)
+
+
+def _decay(seconds: float) -> float:
+    # Not quite zero after any pause, since it divides.
+    return max(MIN_DECAY, math.exp(-seconds / PACE_SECONDS))
--- a/tests/dispatch_builders.py
+++ b/tests/dispatch_builders.py
@@ -4,11 +4,14 @@
 
 from chervilstep.adapters.capabilities import load_capabilities
 from chervilstep.adapters.dispatcher import new_dispatcher
-from chervilstep.calls import Answer, Ending, Outcome
+from chervilstep.calls import Answer, Ending, Outcome, Ticket
 from chervilstep.hooks import POLICIES
 from chervilstep.progress import new_progress
-from chervilstep.types import Verdict
+from chervilstep.types import Verdict, new_deadline
 from tests.builders import (
+    a_call,
+    a_customer,
+    a_route,
     a_service,
     a_snapshot,
     a_stocked_node,
@@ -56,6 +59,17 @@
     return new_progress(ticket or a_ticket())
 
 
+def a_timed_ticket(route=None, customer=None, now=0, seconds=2, body=b''):
+    """A ticket that ends ``seconds`` after ``now``."""
+    return Ticket(
+        a_call('POST', body=body),
+        route or a_route(),
+        customer or a_customer(),
+        new_deadline(now, seconds),
+        now,
+    )
+
+
 def an_ended_progress(outcome, ticket=None):
     """A progress whose first attempt ended with ``outcome``."""
     progress = a_progress(ticket)
