Hedge slow idempotent attempts; keep hopeless waiters out of the slots

Cause: one slow upstream sets the tail of idempotent calls, and calls that were granted just before their deadline ran in vain and ended in doubt.

Change: a first attempt that takes longer than 95 in 100 is raced by a second one where a slot is free and the budget keeps half for retries. A waiter with less time left than a call runs on average is refused truly. An attempt that a pause kept from being sent is given back and may be retried, hedges included; the state machine found that they were sent.

Ruled out: a task for each attempt; only a hedge gets one.

--- a/chervilstep/adapters/dispatcher.py
+++ b/chervilstep/adapters/dispatcher.py
@@ -1,16 +1,18 @@
 """Takes calls through the queue and their attempts; decides nothing."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from functools import partial
 from typing import Protocol, TypeAlias, final
 
-from chervilstep.calls import Attempt, Call, Ending, Outcome, Reply
+from chervilstep.adapters.racing import new_race
+from chervilstep.calls import Attempt, Call, Ending, Outcome, Reply, Ticket
 from chervilstep.commands import attempting as attempts
 from chervilstep.commands import budget
 from chervilstep.commands import queueing as queue_commands
 from chervilstep.node import Node
 from chervilstep.progress import Progress, new_progress
-from chervilstep.queries import admission, queueing, retrying
+from chervilstep.queries import admission, hedging, queueing, retrying
 from chervilstep.queries.attempting import new_attempt
 from chervilstep.refusals import QUEUE_FULL, Refusal
 from chervilstep.snapshot import Upstream
@@ -55,7 +57,11 @@
         ticket = admission.admit(self._node, call, now)
         if isinstance(ticket, Refusal):
             return ticket
-        attempts.charge(self._node, ticket, now)
+        return await self.run(ticket)
+
+    async def run(self, ticket: Ticket) -> Reply:
+        """Charges and answers an admitted call, or says why it cannot."""
+        attempts.charge(self._node, ticket, ticket.arrived_at)
         return await self._run(new_progress(ticket))
 
     def wake(self) -> None:
@@ -78,7 +84,7 @@
             attempt = await self._acquire(progress)
             if isinstance(attempt, Refusal):
                 return retrying.refusal_while_waiting(progress, attempt)
-            outcome = await self._send(progress, attempt)
+            outcome = await self._send_hedged(progress, attempt)
             reply = self._conclude(progress, outcome)
         return reply
 
@@ -100,10 +106,7 @@
         refusal = queueing.objection(self._node, progress, now)
         if refusal is not None:
             return refusal
-        attempt = await self._wait(Waiter(progress, now))
-        if isinstance(attempt, Attempt):
-            return self._confirm(progress, attempt)
-        return attempt
+        return await self._wait(Waiter(progress, now))
 
     def _start(
         self, progress: Progress, upstream: Upstream, now: Instant
@@ -112,16 +115,6 @@
         attempts.start(self._node, progress, attempt)
         return attempt
 
-    def _confirm(
-        self, progress: Progress, attempt: Attempt
-    ) -> Attempt | Refusal:
-        # The process may have been paused since the grant.
-        refusal = queueing.lateness(progress, self._clock())
-        if refusal is None:
-            return attempt
-        self._give_back(progress, attempt)
-        return refusal
-
     async def _wait(self, waiter: Waiter) -> Attempt | Refusal:
         grant: Grant = asyncio.get_running_loop().create_future()
         self._grants[waiter] = grant
@@ -144,14 +137,36 @@
         if isinstance(attempt, Attempt):
             self._give_back(waiter.progress, attempt)
 
-    def _give_back(self, progress: Progress, attempt: Attempt) -> None:
-        self._end(
-            progress,
-            attempt,
-            Outcome(Ending.CANCELLED, Verdict.NOT_RUN, self._clock()),
-        )
+    def _give_back(self, progress: Progress, attempt: Attempt) -> Outcome:
+        outcome = Outcome(Ending.CANCELLED, Verdict.NOT_RUN, self._clock())
+        self._end(progress, attempt, outcome)
+        return outcome
+
+    async def _send_hedged(
+        self, progress: Progress, attempt: Attempt
+    ) -> Outcome:
+        first = self._send(progress, attempt)
+        hedge_at = hedging.hedge_at(self._node, progress, attempt)
+        if hedge_at is None:
+            return await first
+        with new_race(partial(self._hedge, progress)) as race:
+            return await race.run(first, hedge_at - self._clock())
+
+    def _hedge(
+        self, progress: Progress
+    ) -> Coroutine[object, None, Outcome] | None:
+        now = self._clock()
+        upstream = hedging.hedge_upstream(self._node, progress, now)
+        if upstream is None:
+            return None
+        budget.spend(self._node, now)
+        self._node.counters.add('hedges')
+        return self._send(progress, self._start(progress, upstream, now))
 
     async def _send(self, progress: Progress, attempt: Attempt) -> Outcome:
+        if attempt.deadline.has_passed(self._clock()):
+            # The process was paused since the start of the attempt.
+            return self._give_back(progress, attempt)
         try:
             outcome = await self._pool.send(attempt)
         except (asyncio.CancelledError, Exception):
--- a/chervilstep/hooks.py
+++ b/chervilstep/hooks.py
@@ -22,26 +22,31 @@
 class Steps(Generic[Function]):
     """Functions that run one after another, in the order of their rank."""
 
-    __slots__ = ('_ranked',)
+    __slots__ = ('_functions', '_ranked')
 
     def __init__(self) -> None:
         """Starts without functions."""
         self._ranked: list[tuple[int, Function]] = []
+        self._functions: tuple[Function, ...] = ()
 
     def __iter__(self) -> Iterator[Function]:
         """Walks over the functions, the lowest rank first."""
-        return iter([function for _, function in self._ranked])
+        return iter(self._functions)
 
     def register(self, rank: int) -> Callable[[Function], Function]:
         """Returns a decorator that adds its target at ``rank``."""
 
         def decorate(target: Function) -> Function:
-            self._ranked.append((rank, target))
-            self._ranked.sort(key=_rank_of)
+            self._add(rank, target)
             return target
 
         return decorate
 
+    def _add(self, rank: int, function: Function) -> None:
+        self._ranked.append((rank, function))
+        self._ranked.sort(key=_rank_of)
+        self._functions = tuple(ranked[1] for ranked in self._ranked)
+
 
 @final
 class Tick:
--- a/chervilstep/node.py
+++ b/chervilstep/node.py
@@ -14,6 +14,7 @@
 from chervilstep.settings import Settings
 from chervilstep.shares import Shares
 from chervilstep.snapshot import Snapshot
+from chervilstep.tails import Tails
 from chervilstep.waiting import Waiting
 
 
@@ -37,6 +38,7 @@
         '_rng',
         '_settings',
         '_shares',
+        '_tails',
         '_waiting',
     )
 
@@ -51,6 +53,7 @@
         self._outbox = Outbox()
         self._shares = Shares()
         self._waiting = Waiting()
+        self._tails = Tails()
         self._quarantine = Quarantine()
         self._paths = Paths()
         self._retries = RetryBudget()
@@ -115,6 +118,11 @@
         """The customers' tokens that this instance may spend."""
         return self._shares
 
+    @property
+    def tails(self) -> Tails:
+        """The tails of the services' latencies."""
+        return self._tails
+
     @property
     def waiting(self) -> Waiting:
         """The calls that wait for an upstream."""
--- a/chervilstep/queries/budget.py
+++ b/chervilstep/queries/budget.py
@@ -10,6 +10,16 @@
     return balance(node, now) >= 1
 
 
+def can_afford_hedge(node: Node, now: Instant) -> bool:
+    """Whether the budget pays for a hedge and keeps half for retries."""
+    return balance(node, now) >= 1 + limit(node) / 2
+
+
+def limit(node: Node) -> float:
+    """The tokens that this instance may have saved up."""
+    return max(1, FLEET_TOKENS / live_instances(node))
+
+
 def balance(node: Node, now: Instant) -> float:
     """The tokens at ``now``, with this instance's share of the reserve.
 
@@ -18,14 +28,12 @@
     ``FLEET_TOKENS`` (or one token for each instance, if that is more), as
     long as the list of instances leaves out none that serves.
     """
-    instances = live_instances(node)
-    limit = max(1, FLEET_TOKENS / instances)
     budget = node.retries
     if budget.tokens is None:
-        return limit
+        return limit(node)
     elapsed = max(0, now - budget.counted_at)
-    earned = elapsed * FLEET_TOKENS_PER_SECOND / instances
-    return min(limit, budget.tokens + earned)
+    earned = elapsed * FLEET_TOKENS_PER_SECOND / live_instances(node)
+    return min(limit(node), budget.tokens + earned)
 
 
 def live_instances(node: Node) -> int:
--- /dev/null
+++ b/chervilstep/queries/hedging.py
@@ -0,0 +1,43 @@
+"""When an idempotent call is sent to a second upstream, and to which.
+
+Dean and Barroso, "The Tail at Scale" (2013): the second attempt starts when
+the first one is slower than most, and whichever answers first wins.
+"""
+
+from typing import Final
+
+from chervilstep.calls import Attempt
+from chervilstep.node import Node
+from chervilstep.progress import Progress
+from chervilstep.queries.budget import can_afford_hedge
+from chervilstep.queries.queueing import immediate_upstream
+from chervilstep.queries.retrying import is_nested
+from chervilstep.snapshot import Upstream
+from chervilstep.types import Instant
+
+#: No attempt is hedged before this time.
+MIN_DELAY_SECONDS: Final = 0.005
+
+
+def hedge_at(
+    node: Node, progress: Progress, attempt: Attempt
+) -> Instant | None:
+    """Returns when a first attempt may be hedged, or None for never."""
+    ticket = progress.ticket
+    if progress.attempts > 1 or not ticket.is_idempotent:
+        return None
+    tail = node.tails.by_service.get(ticket.route.service)
+    seconds = tail.seconds if tail else None
+    if seconds is None or is_nested(ticket.call):
+        return None
+    at = attempt.started_at + max(MIN_DELAY_SECONDS, seconds)
+    return None if attempt.deadline.has_passed(at) else at
+
+
+def hedge_upstream(
+    node: Node, progress: Progress, now: Instant
+) -> Upstream | None:
+    """Returns where to send the hedge, or None without budget or slot."""
+    if not can_afford_hedge(node, now):
+        return None
+    return immediate_upstream(node, progress, now)
--- a/chervilstep/queries/queueing.py
+++ b/chervilstep/queries/queueing.py
@@ -9,7 +9,6 @@
 from chervilstep.queries.choice import choose, has_any
 from chervilstep.queries.poison import is_quarantined
 from chervilstep.refusals import (
-    DEADLINE_PASSED,
     NO_UPSTREAM,
     QUARANTINED,
     QUEUE_FULL,
@@ -48,43 +47,24 @@
 
 def objection(node: Node, progress: Progress, now: Instant) -> Refusal | None:
     """Returns why a call need not start to wait, or None."""
-    hopeless = hopelessness(node, progress, now)
-    if hopeless is not None:
-        return hopeless
-    queue = node.waiting.queue(progress.ticket.route.service)
+    ticket = progress.ticket
+    if ticket.deadline.has_passed(now):
+        return QUEUE_TIMEOUT
+    if not _has_any(node, ticket.route.service, progress.tried, now):
+        return NO_UPSTREAM
+    queue = node.waiting.queue(ticket.route.service)
     if is_full(node, queue, progress):
         return QUEUE_FULL
-    remaining = progress.ticket.deadline.remaining(now)
-    if expected_wait(queue, progress, now) > remaining:
+    needed = expected_run(node, ticket.route.service)
+    needed += expected_wait(queue, progress, now)
+    if needed > ticket.deadline.remaining(now):
         return QUEUE_TOO_LONG
     return None
 
 
-def hopelessness(
-    node: Node, progress: Progress, now: Instant
-) -> Refusal | None:
-    """Returns why a call need not wait any longer, or None."""
-    if progress.ticket.deadline.has_passed(now):
-        return QUEUE_TIMEOUT
-    service = node.snapshot.services.get(progress.ticket.route.service)
-    if service is None or not has_any(node, service, progress.tried, now):
-        return NO_UPSTREAM
-    return None
-
-
-def lateness(progress: Progress, now: Instant) -> Refusal | None:
-    """Returns why an attempt that was granted must not be sent, or None."""
-    if progress.ticket.deadline.has_passed(now):
-        return DEADLINE_PASSED
-    return None
-
-
 def is_full(node: Node, queue: ServiceQueue, progress: Progress) -> bool:
     """Whether the queue has no room for the call."""
-    size = len(progress.ticket.call.body)
-    if node.waiting.body_bytes + size > MAX_BODY_BYTES:
-        return True
-    return len(queue) >= MAX_WAITERS
+    return len(queue) >= MAX_WAITERS or not _fits_bodies(node, progress)
 
 
 def evictee(node: Node, progress: Progress) -> Waiter | None:
@@ -96,9 +76,7 @@
     queue = node.waiting.queue(progress.ticket.route.service)
     if not is_full(node, queue, progress):
         return None
-    held = Counter(waiter.customer for waiter in queue)
-    for waiter in queue:
-        held[waiter.customer] += waiter.body_bytes // BODY_BYTES_PER_WAITER
+    held = _held_by_customer(node, queue, progress)
     heaviest, most = held.most_common(1)[0] if held else ('', 0)
     if most <= held[progress.ticket.customer_name] + 1:
         return None
@@ -120,6 +98,18 @@
     return interval * turns_ahead(queue, progress)
 
 
+def expected_run(node: Node, service: str) -> float:
+    """The mean seconds that a call of ``service`` runs; zero while unknown.
+
+    A call that has waited and has less time left than this would mostly run
+    in vain, in a slot that others wait for, and end in doubt.
+    """
+    tail = node.tails.by_service.get(service)
+    if tail is None or tail.mean is None:
+        return 0
+    return tail.mean
+
+
 def turns_ahead(queue: ServiceQueue, progress: Progress) -> float:
     """Estimates how many calls are granted before a new one of a customer.
 
@@ -165,10 +155,16 @@
 def hopeless_turns(node: Node, service: str, now: Instant) -> list[Turn]:
     """Returns the waiters that cannot be served, with the reasons."""
     found = []
+    # Most waiters have tried nothing, so one answer does for all of them.
+    usable: dict[frozenset[str], bool] = {}
     for waiter in node.waiting.queues.get(service, ()):
-        refusal = hopelessness(node, waiter.progress, now)
-        if refusal is not None:
-            found.append(Turn(waiter, refusal))
+        tried = waiter.progress.tried
+        if tried not in usable:
+            usable[tried] = _has_any(node, service, tried, now)
+        if waiter.deadline.has_passed(now):
+            found.append(Turn(waiter, QUEUE_TIMEOUT))
+        elif not usable[tried]:
+            found.append(Turn(waiter, NO_UPSTREAM))
     return found
 
 
@@ -189,10 +185,30 @@
     )
 
 
+def _held_by_customer(
+    node: Node, queue: ServiceQueue, progress: Progress
+) -> Counter[str]:
+    """Counts what each customer holds, with bodies when these are many."""
+    held: Counter[str] = Counter()
+    for lane in queue.lanes.values():
+        for customer, line in lane.lines.items():
+            held[customer] += len(line)
+    if _fits_bodies(node, progress):
+        return held
+    for waiter in queue:
+        held[waiter.customer] += waiter.body_bytes // BODY_BYTES_PER_WAITER
+    return held
+
+
+def _fits_bodies(node: Node, progress: Progress) -> bool:
+    size = len(progress.ticket.call.body)
+    return node.waiting.body_bytes + size <= MAX_BODY_BYTES
+
+
 def _turn_of(
     node: Node, service: str, waiter: Waiter, now: Instant
 ) -> Turn | None:
-    if waiter.deadline.has_passed(now):
+    if waiter.deadline.remaining(now) <= expected_run(node, service):
         return Turn(waiter, QUEUE_TIMEOUT)
     if is_quarantined(node, waiter.progress.ticket, now):
         return Turn(waiter, QUARANTINED)
@@ -200,6 +216,13 @@
     return None if upstream is None else Turn(waiter, upstream)
 
 
+def _has_any(
+    node: Node, name: str, tried: frozenset[str], now: Instant
+) -> bool:
+    service = node.snapshot.services.get(name)
+    return service is not None and has_any(node, service, tried, now)
+
+
 def _choose(
     node: Node, name: str, progress: Progress, now: Instant
 ) -> Upstream | None:
--- a/chervilstep/queries/retrying.py
+++ b/chervilstep/queries/retrying.py
@@ -26,7 +26,7 @@
     Ending.SHED: refusals.UPSTREAM_SHED,
     Ending.CONNECT_FAILED: refusals.UPSTREAM_UNREACHABLE,
     Ending.LOST_BEFORE_WRITE: refusals.UPSTREAM_UNREACHABLE,
-    Ending.TIMED_OUT: refusals.DEADLINE_PASSED,
+    Ending.CANCELLED: refusals.DEADLINE_PASSED,
 }
 
 
@@ -48,10 +48,11 @@
     ticket = progress.ticket
     if progress.attempts >= MAX_ATTEMPTS or ticket.deadline.has_passed(now):
         return False
-    if is_nested(ticket.call) or outcome.ending is Ending.CANCELLED:
+    if is_nested(ticket.call):
         return False
     if outcome.verdict is Verdict.MAY_HAVE_RUN:
-        return ticket.is_idempotent
+        is_abandoned = outcome.ending is Ending.CANCELLED
+        return ticket.is_idempotent and not is_abandoned
     return outcome.verdict.is_safe_to_resend
 
 
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -6,6 +6,7 @@
 
 from chervilstep import refusals
 from chervilstep.calls import Answer, Ending
+from lab.virtual_loop import VirtualLoop, run_virtually
 from tests.builders import a_call
 from tests.dispatch_builders import (
     FakePool,
@@ -14,7 +15,6 @@
     a_dispatcher,
     a_slotted_node,
 )
-from tests.virtual_loop import VirtualLoop, run_virtually
 
 
 def handle(call, steps=(), node=None):
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -19,6 +19,7 @@
     fingerprint,
     is_quarantined,
 )
+from lab.virtual_loop import run_virtually
 from tests.builders import (
     a_call,
     a_customer,
@@ -34,7 +35,6 @@
     a_slotted_node,
     an_outcome_of,
 )
-from tests.virtual_loop import run_virtually
 
 POISON = a_call('POST', body=b'poison')
 
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -14,6 +14,7 @@
     FLEET_TOKENS_PER_SECOND,
     TOKENS_PER_CALL,
 )
+from lab.virtual_loop import run_virtually
 from tests.builders import a_call, a_stocked_node, a_ticket, an_upstream
 from tests.dispatch_builders import (
     FakePool,
@@ -23,7 +24,6 @@
     an_ended_progress,
     an_outcome_of,
 )
-from tests.virtual_loop import run_virtually
 
 INSTANCES = 15
 
--- a/tests/test_serving_machine.py
+++ b/tests/test_serving_machine.py
@@ -15,7 +15,9 @@
 from chervilstep.refusals import Refusal
 from chervilstep.retries import FLEET_TOKENS, TOKENS_PER_CALL
 from chervilstep.snapshot import UpstreamState, ZoneState
+from chervilstep.tails import MIN_ANSWERS
 from chervilstep.types import Verdict, new_deadline
+from lab.virtual_loop import VirtualLoop
 from tests.builders import (
     a_call,
     a_customer,
@@ -26,7 +28,6 @@
     an_upstream,
 )
 from tests.dispatch_builders import HeldPool, a_dispatcher
-from tests.virtual_loop import VirtualLoop
 
 ZONES = ('akl', 'ham')
 SLOTS = 2
@@ -78,6 +79,9 @@
         self.withdrawn = set()
         self.leaving = set()
         self.node = a_stocked_node(self.snapshot())
+        for _ in range(MIN_ANSWERS):
+            # Idempotent calls are hedged after this time.
+            self.node.tails.note('strike', 0.05)
         self.pool = CheckedPool(self.loop, self.node)
         self.dispatcher = a_dispatcher(self.loop, self.pool, self.node)
         self.calls = []
