--- a/chervilstep/node.py
+++ b/chervilstep/node.py
@@ -18,6 +18,7 @@
 from chervilstep.settings import Settings
 from chervilstep.shares import Shares
 from chervilstep.snapshot import Snapshot
+from chervilstep.tails import Tails
 from chervilstep.voting import Leases
 from chervilstep.waiting import Waiting
 
@@ -49,6 +50,7 @@
         '_rng',
         '_settings',
         '_shares',
+        '_tails',
         '_waiting',
     )
 
@@ -68,6 +70,7 @@
         self._leases = Leases(Holder(settings.name, incarnation))
         self._relay = Relay()
         self._waiting = Waiting()
+        self._tails = Tails()
         self._quarantine = Quarantine()
         self._paths = Paths()
         self._retries = RetryBudget()
@@ -152,6 +155,11 @@
         """The customers' tokens that this instance may spend."""
         return self._shares
 
+    @property
+    def tails(self) -> Tails:
+        """The tails of the services' latencies."""
+        return self._tails
+
     @property
     def waiting(self) -> Waiting:
         """The calls that wait for an upstream."""
--- a/chervilstep/queries/queueing.py
+++ b/chervilstep/queries/queueing.py
@@ -1,5 +1,6 @@
 """Who waits, who is next, and who cannot be served in time."""
 
+from collections import Counter
 from collections.abc import Iterator
 from typing import Final
 
@@ -8,7 +9,6 @@
 from chervilstep.queries.choice import choose, has_any
 from chervilstep.queries.poison import is_quarantined
 from chervilstep.refusals import (
-    DEADLINE_PASSED,
     NO_UPSTREAM,
     QUARANTINED,
     QUEUE_FULL,
@@ -24,6 +24,8 @@
 MAX_WAITERS: Final = 1024
 #: Bodies that one instance holds for waiting calls.
 MAX_BODY_BYTES: Final = 48 * 1024 * 1024
+#: A held body of this size weighs as much as another waiter.
+BODY_BYTES_PER_WAITER: Final = MAX_BODY_BYTES // MAX_WAITERS
 #: Waiting calls look again after this time, since knowledge of loads expires.
 RECHECK_SECONDS: Final = 0.05
 
@@ -31,53 +33,55 @@
 def immediate_upstream(
     node: Node, progress: Progress, now: Instant
 ) -> Upstream | None:
-    """Returns an upstream for a call that overtakes nobody."""
+    """Returns an upstream for a call that overtakes nobody.
+
+    Retries that wait for an upstream that they have not tried could not use
+    one that is free, so they hold nobody back.
+    """
     name = progress.ticket.route.service
     queue = node.waiting.queues.get(name)
-    if queue is not None and len(queue):
+    if queue is not None and queue.has_first_tries:
         return None
     return _choose(node, name, progress, now)
 
 
 def objection(node: Node, progress: Progress, now: Instant) -> Refusal | None:
     """Returns why a call need not start to wait, or None."""
-    hopeless = hopelessness(node, progress, now)
-    if hopeless is not None:
-        return hopeless
-    queue = node.waiting.queue(progress.ticket.route.service)
+    ticket = progress.ticket
+    if ticket.deadline.has_passed(now):
+        return QUEUE_TIMEOUT
+    if not _has_any(node, ticket.route.service, progress.tried, now):
+        return NO_UPSTREAM
+    queue = node.waiting.queue(ticket.route.service)
     if is_full(node, queue, progress):
         return QUEUE_FULL
-    remaining = progress.ticket.deadline.remaining(now)
-    if expected_wait(queue, progress, now) > remaining:
+    needed = expected_run(node, ticket.route.service)
+    needed += expected_wait(queue, progress, now)
+    if needed > ticket.deadline.remaining(now):
         return QUEUE_TOO_LONG
     return None
 
 
-def hopelessness(
-    node: Node, progress: Progress, now: Instant
-) -> Refusal | None:
-    """Returns why a call need not wait any longer, or None."""
-    if progress.ticket.deadline.has_passed(now):
-        return QUEUE_TIMEOUT
-    service = node.snapshot.services.get(progress.ticket.route.service)
-    if service is None or not has_any(node, service, progress.tried, now):
-        return NO_UPSTREAM
-    return None
-
+def is_full(node: Node, queue: ServiceQueue, progress: Progress) -> bool:
+    """Whether the queue has no room for the call."""
+    return len(queue) >= MAX_WAITERS or not _fits_bodies(node, progress)
 
-def lateness(progress: Progress, now: Instant) -> Refusal | None:
-    """Returns why an attempt that was granted must not be sent, or None."""
-    if progress.ticket.deadline.has_passed(now):
-        return DEADLINE_PASSED
-    return None
 
+def evictee(node: Node, progress: Progress) -> Waiter | None:
+    """Returns the waiter that makes room for a call in a full queue.
 
-def is_full(node: Node, queue: ServiceQueue, progress: Progress) -> bool:
-    """Whether the queue has no room for the call."""
-    size = len(progress.ticket.call.body)
-    if node.waiting.body_bytes + size > MAX_BODY_BYTES:
-        return True
-    return len(queue) >= MAX_WAITERS
+    It is the last one of the customer that holds the most of the queue,
+    unless that is the customer of the call itself.
+    """
+    queue = node.waiting.queue(progress.ticket.route.service)
+    if not is_full(node, queue, progress):
+        return None
+    held = _held_by_customer(node, queue, progress)
+    heaviest, most = held.most_common(1)[0] if held else ('', 0)
+    if most <= held[progress.ticket.customer_name] + 1:
+        return None
+    lines = [lane.lines.get(heaviest) for lane in queue.lanes.values()]
+    return next(line[-1] for line in reversed(lines) if line)
 
 
 def expected_wait(
@@ -85,18 +89,27 @@
 ) -> float:
     """Estimates the seconds until a new waiter would be granted.
 
-    Zero while nothing is known of the pace. A queue that has stopped looks
-    slower with every second that it stands still.
+    Zero while nothing is known of the pace, and for retries, which go first.
+    A queue that has stopped looks slower the longer it stands still.
     """
-    pace = queue.pace
-    if pace.interval_seconds is None or pace.last_at is None:
+    interval = queue.pace.interval(now)
+    if interval is None or progress.tried:
         return 0
-    interval = pace.interval_seconds
-    if len(queue):
-        interval = max(interval, now - pace.last_at)
     return interval * turns_ahead(queue, progress)
 
 
+def expected_run(node: Node, service: str) -> float:
+    """The mean seconds that a call of ``service`` runs; zero while unknown.
+
+    A call that has waited and has less time left than this would mostly run
+    in vain, in a slot that others wait for, and end in doubt.
+    """
+    tail = node.tails.by_service.get(service)
+    if tail is None or tail.mean is None:
+        return 0
+    return tail.mean
+
+
 def turns_ahead(queue: ServiceQueue, progress: Progress) -> float:
     """Estimates how many calls are granted before a new one of a customer.
 
@@ -142,10 +155,16 @@
 def hopeless_turns(node: Node, service: str, now: Instant) -> list[Turn]:
     """Returns the waiters that cannot be served, with the reasons."""
     found = []
+    # Most waiters have tried nothing, so one answer does for all of them.
+    usable: dict[frozenset[str], bool] = {}
     for waiter in node.waiting.queues.get(service, ()):
-        refusal = hopelessness(node, waiter.progress, now)
-        if refusal is not None:
-            found.append(Turn(waiter, refusal))
+        tried = waiter.progress.tried
+        if tried not in usable:
+            usable[tried] = _has_any(node, service, tried, now)
+        if waiter.deadline.has_passed(now):
+            found.append(Turn(waiter, QUEUE_TIMEOUT))
+        elif not usable[tried]:
+            found.append(Turn(waiter, NO_UPSTREAM))
     return found
 
 
@@ -166,10 +185,30 @@
     )
 
 
+def _held_by_customer(
+    node: Node, queue: ServiceQueue, progress: Progress
+) -> Counter[str]:
+    """Counts what each customer holds, with bodies when these are many."""
+    held: Counter[str] = Counter()
+    for lane in queue.lanes.values():
+        for customer, line in lane.lines.items():
+            held[customer] += len(line)
+    if _fits_bodies(node, progress):
+        return held
+    for waiter in queue:
+        held[waiter.customer] += waiter.body_bytes // BODY_BYTES_PER_WAITER
+    return held
+
+
+def _fits_bodies(node: Node, progress: Progress) -> bool:
+    size = len(progress.ticket.call.body)
+    return node.waiting.body_bytes + size <= MAX_BODY_BYTES
+
+
 def _turn_of(
     node: Node, service: str, waiter: Waiter, now: Instant
 ) -> Turn | None:
-    if waiter.deadline.has_passed(now):
+    if waiter.deadline.remaining(now) <= expected_run(node, service):
         return Turn(waiter, QUEUE_TIMEOUT)
     if is_quarantined(node, waiter.progress.ticket, now):
         return Turn(waiter, QUARANTINED)
@@ -177,6 +216,13 @@
     return None if upstream is None else Turn(waiter, upstream)
 
 
+def _has_any(
+    node: Node, name: str, tried: frozenset[str], now: Instant
+) -> bool:
+    service = node.snapshot.services.get(name)
+    return service is not None and has_any(node, service, tried, now)
+
+
 def _choose(
     node: Node, name: str, progress: Progress, now: Instant
 ) -> Upstream | None:
