Prove the rates by a state machine of faults and by tests of the loans

Cause: the bound has to hold whatever fails, and when shares change hands. Change: a fleet in virtual time over a network that cuts, loses, doubles and delays; a machine of pauses, crashes, restarts, joins, planned stops and stale lists; after every step the rights of all instances add up to no more than the limits, no shard has two holders, and no window is overspent.

--- a/lab/virtual_fleet.py
+++ b/lab/virtual_fleet.py
@@ -59,6 +59,7 @@
         'now',
         'order',
         'paused',
+        'revision',
         'rng',
         'snapshot',
         'spent',
@@ -72,6 +73,7 @@
         self.nodes: dict[str, Node] = {}
         self.paused: dict[str, list[Act]] = {}
         self.now = 1000.0
+        self.revision = 1
         self.events: list[tuple[float, int, str, Any, Any]] = []
         self.order = itertools.count()
         self.starts = itertools.count(1)
@@ -144,6 +146,15 @@
             if name in self.nodes:
                 self.nodes[name].members.replace(revision, listing)
 
+    def listing(self, names: Iterable[str]) -> tuple[int, list[Instance]]:
+        """The next revision of the platform's list."""
+        self.revision += 1
+        return self.revision, a_virtual_listing(names)
+
+    def votes(self, name: str) -> bool:
+        node = self.nodes.get(name)
+        return node is not None and node.leases.voting.is_voting
+
     def _try(self, node: Node, customer: str) -> Refusal | None:
         found = node.snapshot.customers[customer]
         call = Call(
