Say when a run was disturbed, and let rates be set apart from the load

Cause: a machine busy with other work made the generators late, and the rate limits hid what a policy does.

--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -20,6 +20,7 @@
 from lab.plans import PLANS
 from lab.platform import serve_platform
 from lab.processes import Processes
+from lab.queries.demands import HEADROOM
 from lab.scaled import new_scaled_plan
 from lab.slopes import idle_cost, print_cost
 
@@ -41,6 +42,7 @@
     seconds: float = 20,
     rounds: int = 1,
     instances: int = 0,
+    headroom: float = HEADROOM,
     seed: int = 1,
 ) -> int:
     """Compare policies under faults and print the measures.
@@ -54,6 +56,7 @@
     :param seconds: how long one turn sends requests
     :param rounds: how many turns each policy gets under each fault
     :param instances: entry instances; 0 means as many as the brief says
+    :param headroom: how far each customer's rate lies above what it sends
     :param seed: fixes the arrivals and the service times
     """
     # The plots' library starts slowly; the processes do without it.
@@ -68,6 +71,7 @@
         rate=rate,
         seconds=seconds,
         rounds=rounds,
+        headroom=headroom,
         seed=seed,
     )
     print(describe(trial))
--- a/lab/experiment.py
+++ b/lab/experiment.py
@@ -16,7 +16,7 @@
 from lab.measures import Measures
 from lab.plans import Plan
 from lab.queries import measuring
-from lab.queries.demands import Turn, limits_of
+from lab.queries.demands import HEADROOM, Turn, limits_of
 from lab.queries.measuring import TurnResult
 from lab.queries.resources import Usage, cpu_between, usage_of
 from lab.stage import Stage
@@ -37,6 +37,7 @@
 
     __slots__ = (
         '_faults',
+        '_headroom',
         '_load',
         '_plan',
         '_policies',
@@ -57,6 +58,7 @@
         seconds: float,
         rounds: int,
         seed: int,
+        headroom: float = HEADROOM,
     ) -> None:
         """Creates a trial at ``load``, the part of all slots in use."""
         self._plan = plan
@@ -67,12 +69,18 @@
         self._seconds = seconds
         self._rounds = rounds
         self._seed = seed
+        self._headroom = headroom
 
     @property
     def plan(self) -> Plan:
         """What is deployed."""
         return self._plan
 
+    @property
+    def headroom(self) -> float:
+        """How far each rate lies above what its customer sends."""
+        return self._headroom
+
     @property
     def policies(self) -> tuple[str, ...]:
         """The policies that take turns."""
@@ -127,7 +135,7 @@
         self._trial = trial
         self._deployment = deployment
         self._folder = folder
-        self._limits = limits_of(trial.plan, trial.rate)
+        self._limits = limits_of(trial.plan, trial.rate, trial.headroom)
         self._results: dict[tuple[str, str], list[TurnResult]] = {}
 
     @property
--- a/lab/queries/demands.py
+++ b/lab/queries/demands.py
@@ -15,7 +15,7 @@
 
 #: Callers of one customer; the k-th sends 1/k as much as the first.
 CALLERS: Final = 6
-#: How far each customer's rate lies above what it means to send.
+#: How far each customer's rate lies above what it means to send, usually.
 HEADROOM: Final = 1.5
 #: The burst in seconds of the rate.
 BURST_SECONDS: Final = 0.5
@@ -105,12 +105,14 @@
     return rates
 
 
-def limits_of(plan: Plan, rate: float) -> dict[str, Limit]:
+def limits_of(
+    plan: Plan, rate: float, headroom: float = HEADROOM
+) -> dict[str, Limit]:
     """The limits under which every customer may send what it means to."""
     sums: dict[str, float] = {}
     for (_, customer), offered in offered_rates(plan, rate).items():
         if customer != ANYONE:
-            sums[customer] = sums.get(customer, 0) + offered * HEADROOM
+            sums[customer] = sums.get(customer, 0) + offered * headroom
     return {
         customer: Limit(allowed, max(SMALLEST_BURST, allowed * BURST_SECONDS))
         for customer, allowed in sums.items()
--- a/lab/report.py
+++ b/lab/report.py
@@ -16,6 +16,8 @@
 mpl.use('Agg')
 
 _MS: Final = 1000
+#: Above this the lab measures the machine rather than the instances.
+LATENESS_LIMIT_MS: Final = 20
 _BIN_SECONDS: Final = 0.5
 _PLOT_HEIGHT: Final = 3.2
 _PLOT_WIDTH: Final = 10
@@ -37,7 +39,7 @@
 <table>
 <tr><th>policy<th>sent<th>answered<th>p50 ms<th>p99 ms<th>p99.9 ms
 <th>wrongly refused<th>worst-served<th>its share answered<th>its p99 ms
-<th>CPU ms a request<th>probes' share of slots<th>faults</tr>
+<th>CPU ms a request<th>probes' share of slots<th>lab late ms<th>faults</tr>
 {% for policy, m in policies.items() %}
 <tr><td>{{ policy or 'default' }}<td>{{ m.sent }}<td>{{ m.tail.count }}
 <td>{{ '%.1f'|format(m.tail.p50) }}<td>{{ '%.1f'|format(m.tail.p99) }}
@@ -47,6 +49,8 @@
 <td>{{ '%.1f'|format(m.customers[m.worst].tail.p99) }}
 <td>{{ '%.2f'|format(m.cost.entry_cpu_ms_a_request) }}
 <td>{{ '%.2f %%'|format(100 * m.cost.probe_share_of_slots) }}
+<td{% if m.lateness.p99 > limit %} class="bad"{% endif %}>
+{{ '%.1f'|format(m.lateness.p99) }}
 <td{% if not m.checks.are_clean %} class="bad"{% endif %}>
 {{ 'none' if m.checks.are_clean else checks[fault][policy] }}</tr>
 {% endfor %}
@@ -81,6 +85,7 @@
             measured=measured,
             plots=plots,
             checks=_checks_texts(measured),
+            limit=LATENESS_LIMIT_MS,
         )
     )
     return path
@@ -92,7 +97,7 @@
         f'{trial.plan.name}: load {trial.load}, {trial.rate:.0f} requests/s,'
         f' mean service time {trial.mean_seconds * _MS:.0f} ms,'
         f' {trial.seconds:.0f} s a turn, {trial.rounds} rounds,'
-        f' seed {trial.seed}'
+        f' rates {trial.headroom} times the load, seed {trial.seed}'
     )
 
 
@@ -129,7 +134,9 @@
         )
     clean = measures.checks.are_clean
     print(f'  by request id    {"clean" if clean else _text_of(measures)}')
-    print(f'  lab lateness     p99 {measures.lateness.p99:.1f} ms')
+    late = measures.lateness.p99
+    note = ', DISTURBED' if late > LATENESS_LIMIT_MS else ''
+    print(f'  lab lateness     p99 {late:.1f} ms{note}')
 
 
 def _checks_texts(
