--- a/lab/report.py
+++ b/lab/report.py
@@ -134,9 +134,9 @@
         )
     clean = measures.checks.are_clean
     print(f'  by request id    {"clean" if clean else _text_of(measures)}')
-    late = measures.lateness.p99
-    note = ', DISTURBED' if late > LATENESS_LIMIT_MS else ''
-    print(f'  lab lateness     p99 {late:.1f} ms{note}')
+    late_ms = measures.lateness.p99
+    note = ', DISTURBED' if late_ms > LATENESS_LIMIT_MS else ''
+    print(f'  lab lateness     p99 {late_ms:.1f} ms{note}')
 
 
 def _checks_texts(
