Let faults come together, and name an unknown one at the start

Cause: the users' faults may come together; a misspelt one was found only after every process had started.

Change: `zone+kill` runs both schedules; unknown names end the command with status 2 and the list of names.

Conclusion: tested with a surge beside a poison request.

--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -11,6 +11,8 @@
 import defopt
 import uvloop
 
+from chervilstep.exceptions import UnknownName
+from lab.commands.scenarios import SCENARIOS
 from lab.control import new_upstreams, serve_upstreams
 from lab.demo import run_demo
 from lab.deployment import Deployment, new_deployment
@@ -20,7 +22,7 @@
 from lab.plans import PLANS
 from lab.platform import serve_platform
 from lab.processes import Processes
-from lab.queries.demands import HEADROOM
+from lab.queries.demands import HEADROOM, TOGETHER
 from lab.scaled import new_scaled_plan
 from lab.slopes import idle_cost, print_cost
 
@@ -62,11 +64,15 @@
     # The plots' library starts slowly; the processes do without it.
     from lab.report import describe, print_summary, write_report
 
+    names = faults or ['none']
+    for name in names:
+        for part in name.split(TOGETHER):
+            SCENARIOS.find(part)
     plan = PLANS.find(deployment)()
     trial = Trial(
         plan,
         ['' if name == 'default' else name for name in policies or ['']],
-        faults or ['none'],
+        names,
         load=load,
         rate=rate,
         seconds=seconds,
@@ -179,9 +185,12 @@
 
 def main() -> int:
     """Runs the command that the arguments name."""
-    status: int = defopt.run(
-        [demo, experiment, slopes, generate, upstream, platform]
-    )
+    commands = [demo, experiment, slopes, generate, upstream, platform]
+    try:
+        status: int = defopt.run(commands)
+    except UnknownName as error:
+        print(error, file=sys.stderr)
+        return 2
     return status
 
 
--- a/lab/experiment.py
+++ b/lab/experiment.py
@@ -22,7 +22,7 @@
 from lab.measures import Measures
 from lab.plans import Plan
 from lab.queries import measuring
-from lab.queries.demands import HEADROOM, Turn, limits_of
+from lab.queries.demands import HEADROOM, TOGETHER, Turn, limits_of
 from lab.queries.measuring import TurnResult
 from lab.queries.resources import Usage, cpu_between, usage_of
 from lab.stage import Stage
@@ -202,7 +202,9 @@
         before = self._usage()
         calls = await self._deployment.platform_calls()
         counts = await self._deployment.upstream_counts()
-        await SCENARIOS.find(turn.fault)(stage)
+        await asyncio.gather(
+            *(SCENARIOS.find(fault)(stage) for fault in turn.faults)
+        )
         await stage.at(1)
         cost = cost_of(turn, before, self._usage())
         after = await self._deployment.upstream_counts()
@@ -238,7 +240,7 @@
                         'rate': turn.rate,
                         'seconds': turn.seconds,
                         'seed': turn.seed,
-                        'fault': turn.fault,
+                        'fault': TOGETHER.join(turn.faults),
                         'part': part,
                         'parts': GENERATORS,
                         'start_at': start_at,
--- a/lab/queries/demands.py
+++ b/lab/queries/demands.py
@@ -22,6 +22,8 @@
 SMALLEST_BURST: Final = 5
 #: The name under which calls of open routes are counted.
 ANYONE: Final = ''
+#: Joins the names of faults that come together.
+TOGETHER: Final = '+'
 SURGE_FACTOR: Final = 5
 POISON: Final = 'poison'
 _POISON_PERIOD_SECONDS: Final = 0.5
@@ -77,9 +79,9 @@
         return self._seed
 
     @property
-    def fault(self) -> str:
-        """The fault, which may add requests."""
-        return self._fault
+    def faults(self) -> tuple[str, ...]:
+        """The faults that come together; some of them add requests."""
+        return tuple(self._fault.split(TOGETHER))
 
 
 #: Draws the arrivals that a fault adds to a turn.
@@ -127,9 +129,10 @@
     for (route, customer), rate in rates.items():
         rng = random.Random(f'{turn.seed} {route} {customer}')
         arrivals += _poisson(turn, rng, routes[route], customer, rate)
-    if turn.fault in DEMANDS.names:
-        rng = random.Random(f'{turn.seed} {turn.fault}')
-        arrivals += DEMANDS.find(turn.fault)(turn, rng)
+    for fault in turn.faults:
+        if fault in DEMANDS.names:
+            rng = random.Random(f'{turn.seed} {fault}')
+            arrivals += DEMANDS.find(fault)(turn, rng)
     return sorted(arrivals, key=lambda arrival: arrival.at)
 
 
--- a/tests/test_lab_demands.py
+++ b/tests/test_lab_demands.py
@@ -50,3 +50,12 @@
     ]
     assert len(targets) > 3
     assert len(set(targets)) == 1
+
+
+def test_faults_that_come_together_add_their_requests():
+    targets = {
+        arrival.request.request_id.rpartition('-')[0]
+        for arrival in arrivals_of(a_turn(fault='surge+poison'))
+    }
+    assert any(POISON in target for target in targets)
+    assert any('surge' in target for target in targets)
