--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -11,6 +11,8 @@
 import defopt
 import uvloop
 
+from chervilstep.exceptions import UnknownName
+from lab.commands.scenarios import SCENARIOS
 from lab.control import new_upstreams, serve_upstreams
 from lab.demo import run_demo
 from lab.deployment import Deployment, new_deployment
@@ -20,6 +22,7 @@
 from lab.plans import PLANS
 from lab.platform import serve_platform
 from lab.processes import Processes
+from lab.queries.demands import HEADROOM, TOGETHER
 from lab.scaled import new_scaled_plan
 from lab.slopes import idle_cost, print_cost
 
@@ -41,6 +44,7 @@
     seconds: float = 20,
     rounds: int = 1,
     instances: int = 0,
+    headroom: float = HEADROOM,
     seed: int = 1,
 ) -> int:
     """Compare policies under faults and print the measures.
@@ -54,20 +58,26 @@
     :param seconds: how long one turn sends requests
     :param rounds: how many turns each policy gets under each fault
     :param instances: entry instances; 0 means as many as the brief says
+    :param headroom: how far each customer's rate lies above what it sends
     :param seed: fixes the arrivals and the service times
     """
     # The plots' library starts slowly; the processes do without it.
     from lab.report import describe, print_summary, write_report
 
+    names = faults or ['none']
+    for name in names:
+        for part in name.split(TOGETHER):
+            SCENARIOS.find(part)
     plan = PLANS.find(deployment)()
     trial = Trial(
         plan,
         ['' if name == 'default' else name for name in policies or ['']],
-        faults or ['none'],
+        names,
         load=load,
         rate=rate,
         seconds=seconds,
         rounds=rounds,
+        headroom=headroom,
         seed=seed,
     )
     print(describe(trial))
@@ -175,9 +185,12 @@
 
 def main() -> int:
     """Runs the command that the arguments name."""
-    status: int = defopt.run(
-        [demo, experiment, slopes, generate, upstream, platform]
-    )
+    commands = [demo, experiment, slopes, generate, upstream, platform]
+    try:
+        status: int = defopt.run(commands)
+    except UnknownName as error:
+        print(error, file=sys.stderr)
+        return 2
     return status
 
 
--- a/lab/queries/demands.py
+++ b/lab/queries/demands.py
@@ -15,13 +15,15 @@
 
 #: Callers of one customer; the k-th sends 1/k as much as the first.
 CALLERS: Final = 6
-#: How far each customer's rate lies above what it means to send.
+#: How far each customer's rate lies above what it means to send, usually.
 HEADROOM: Final = 1.5
 #: The burst in seconds of the rate.
 BURST_SECONDS: Final = 0.5
 SMALLEST_BURST: Final = 5
 #: The name under which calls of open routes are counted.
 ANYONE: Final = ''
+#: Joins the names of faults that come together.
+TOGETHER: Final = '+'
 SURGE_FACTOR: Final = 5
 POISON: Final = 'poison'
 _POISON_PERIOD_SECONDS: Final = 0.5
@@ -77,9 +79,9 @@
         return self._seed
 
     @property
-    def fault(self) -> str:
-        """The fault, which may add requests."""
-        return self._fault
+    def faults(self) -> tuple[str, ...]:
+        """The faults that come together; some of them add requests."""
+        return tuple(self._fault.split(TOGETHER))
 
 
 #: Draws the arrivals that a fault adds to a turn.
@@ -105,12 +107,14 @@
     return rates
 
 
-def limits_of(plan: Plan, rate: float) -> dict[str, Limit]:
+def limits_of(
+    plan: Plan, rate: float, headroom: float = HEADROOM
+) -> dict[str, Limit]:
     """The limits under which every customer may send what it means to."""
     sums: dict[str, float] = {}
     for (_, customer), offered in offered_rates(plan, rate).items():
         if customer != ANYONE:
-            sums[customer] = sums.get(customer, 0) + offered * HEADROOM
+            sums[customer] = sums.get(customer, 0) + offered * headroom
     return {
         customer: Limit(allowed, max(SMALLEST_BURST, allowed * BURST_SECONDS))
         for customer, allowed in sums.items()
@@ -125,9 +129,10 @@
     for (route, customer), rate in rates.items():
         rng = random.Random(f'{turn.seed} {route} {customer}')
         arrivals += _poisson(turn, rng, routes[route], customer, rate)
-    if turn.fault in DEMANDS.names:
-        rng = random.Random(f'{turn.seed} {turn.fault}')
-        arrivals += DEMANDS.find(turn.fault)(turn, rng)
+    for fault in turn.faults:
+        if fault in DEMANDS.names:
+            rng = random.Random(f'{turn.seed} {fault}')
+            arrivals += DEMANDS.find(fault)(turn, rng)
     return sorted(arrivals, key=lambda arrival: arrival.at)
 
 
