Choose home slots first, warm upstreams along a ramp, eject outliers

Cause: with 14 to 19 instances before servers of 3 slots, every choice on own counts or on stale reports oversubscribes some server while another is idle, stragglers own the tail, and each instance's "only one" to a cold server adds up to a load that it can't bear. The slots of a service are divided among the live instances by rendezvous hashing; an instance uses its own first, then the open upstream it has used least and least recently. It keeps an adaptive limit of requests in flight, so that overload waits at the entry. Warmth is a fleet-wide level: a cold upstream opens slot after slot, each to its one home. Outliers by latency, overdue requests, failures or sheds are ejected, a third of a service at most; peers hear of changes within a budget of bytes, and a new instance asks a peer. Tests changed: an attempt now starts and ends as the same object, and UpstreamLoad.start() takes it; nothing is asserted less.

--- /dev/null
+++ b/chervilstep/commands/review.py
@@ -0,0 +1,69 @@
+"""Commands that follow the fleet, the configuration and the latencies."""
+
+from typing import Final
+
+from chervilstep.calls import Ticket
+from chervilstep.commands.board import shrink_limit
+from chervilstep.hooks import CHARGES, every
+from chervilstep.node import Node
+from chervilstep.queries.homes import live_instances
+from chervilstep.queries.warmth import (
+    is_unknown,
+    out_of_service,
+    peer_for,
+    typical_latency,
+)
+from chervilstep.types import Deadline, Instant, new_deadline
+from chervilstep.warmth_messages import WarmthAsk
+
+#: The rank of the question for warmth among the charges.
+LEARN_RANK: Final = 30
+#: How long to wait for the answer of a peer before another one is asked.
+ASK_SECONDS: Final = 0.25
+#: How often live instances and typical latencies are looked at again.
+REVIEW_PERIOD_SECONDS: Final = 0.1
+
+
+@CHARGES.register(LEARN_RANK)
+def learn_warmth(node: Node, ticket: Ticket, now: Instant) -> None:
+    """Asks a peer about upstreams that this instance knows nothing of."""
+    name = ticket.route.service
+    service = node.snapshot.services.get(name)
+    if service is None or node.warmth.was_asked(name, now):
+        return
+    if is_unknown(node, service, now):
+        peer = peer_for(node, f'{name}\0{node.rng.random()}', now)
+        if peer is not None:
+            node.warmth.ask(name, new_deadline(now, ASK_SECONDS))
+            node.outbox.put(peer, WarmthAsk(name))
+
+
+@every(REVIEW_PERIOD_SECONDS, 'review-upstreams')
+def review_upstreams(node: Node, now: Instant) -> None:
+    """Follows the configuration, the fleet and the typical latencies."""
+    live = live_instances(node, now)
+    if live != node.board.live:
+        node.board.share_among(live)
+    for name, load in node.board.services.items():
+        service = node.snapshot.services.get(name)
+        if service is not None:
+            latency = typical_latency(node, service, now)
+            if latency is not None:
+                load.learn(latency)
+            if load.is_queueing:
+                shrink_limit(node, service, now)
+    _cool_withdrawn(node, now)
+
+
+def _cool_withdrawn(node: Node, now: Instant) -> None:
+    out = out_of_service(node.snapshot)
+    for name in out - node.warmth.out_of_service:
+        node.warmth.record(name).cool(Deadline(now), now)
+    node.warmth.take_out(out)
+    node.warmth.keep(
+        frozenset(
+            upstream.name
+            for service in node.snapshot.services.values()
+            for upstream in service.upstreams
+        )
+    )
--- /dev/null
+++ b/chervilstep/commands/warmth_news.py
@@ -0,0 +1,88 @@
+"""Commands that share what instances believe of upstreams."""
+
+from typing import Final
+
+from chervilstep.hooks import HANDLERS, every
+from chervilstep.messages import EVERY_PEER, Message
+from chervilstep.node import Node
+from chervilstep.queries.warmth_news import (
+    accepts,
+    all_beliefs,
+    belief_of,
+    peer_count,
+)
+from chervilstep.types import Instant, new_deadline
+from chervilstep.warmth import BELIEF_SECONDS, Warmth
+from chervilstep.warmth_messages import Belief, WarmthAsk, WarmthNews, new_news
+
+#: What a belief takes up on the wire, with its share of the frame.
+BELIEF_BYTES: Final = 40
+#: Bytes a second that an instance spends on news, over all peers.
+NEWS_BYTES_PER_SECOND: Final = 1500
+#: Bytes that it may spend at once after a quiet time.
+NEWS_BURST_BYTES: Final = 15000
+#: The longest time for which a peer's word closes an upstream.
+MAX_CLOSED_SECONDS: Final = 30
+#: How often news that did not fit the budget is tried again.
+FLUSH_PERIOD_SECONDS: Final = 0.1
+
+
+@every(FLUSH_PERIOD_SECONDS, 'flush-news')
+def flush_news(node: Node, now: Instant) -> None:
+    """Sends the news that the budget allows, the oldest first."""
+    table = node.warmth
+    cost = BELIEF_BYTES * peer_count(node, now) / NEWS_BYTES_PER_SECOND
+    burst = NEWS_BURST_BYTES / NEWS_BYTES_PER_SECOND
+    beliefs = []
+    for name in table.changed:
+        if table.may_spend(burst, now):
+            beliefs.append(belief_of(name, table.record(name), now))
+            table.told(name)
+            table.spend(cost, now)
+    if beliefs and cost:
+        node.outbox.put(EVERY_PEER, new_news(beliefs))
+
+
+@HANDLERS.register(WarmthAsk.kind)
+def hear_ask(node: Node, peer: str, message: Message, now: Instant) -> None:
+    """Answers what this instance believes of a service's upstreams."""
+    if not isinstance(message, WarmthAsk):
+        return
+    service = node.snapshot.services.get(message.service)
+    if service is not None:
+        beliefs = all_beliefs(node, service, now)
+        if beliefs:
+            node.outbox.put(peer, new_news(beliefs))
+
+
+@HANDLERS.register(WarmthNews.kind)
+def hear_news(node: Node, peer: str, message: Message, now: Instant) -> None:
+    """Takes over the beliefs that are newer than the own ones."""
+    if isinstance(message, WarmthNews):
+        for belief in message.beliefs:
+            if accepts(node, belief, now):
+                _adopt(node, belief, now)
+
+
+def _adopt(node: Node, belief: Belief, now: Instant) -> None:
+    name = belief.upstream
+    seconds = min(MAX_CLOSED_SECONDS, belief.closed_seconds)
+    node.board.load(name).defer(node.board.turns)
+    node.warmth.put(
+        name,
+        Warmth(
+            belief.epoch,
+            belief.level,
+            new_deadline(now, seconds),
+            new_deadline(now, BELIEF_SECONDS),
+            belief.ejections,
+            _since(node, belief, now),
+        ),
+    )
+
+
+def _since(node: Node, belief: Belief, now: Instant) -> Instant:
+    own = node.warmth.records.get(belief.upstream)
+    if own is not None and own.epoch == belief.epoch:
+        return own.since
+    return now
--- a/chervilstep/node.py
+++ b/chervilstep/node.py
@@ -16,6 +16,7 @@
 from chervilstep.shares import Shares
 from chervilstep.snapshot import Snapshot
 from chervilstep.waiting import Waiting
+from chervilstep.warmth import WarmthTable
 
 
 @final
@@ -40,6 +41,7 @@
         '_settings',
         '_shares',
         '_waiting',
+        '_warmth',
     )
 
     def __init__(self, settings: Settings, rng: random.Random) -> None:
@@ -49,6 +51,7 @@
         self._configuration = Configuration()
         self._members = Members(settings.name)
         self._board = Board()
+        self._warmth = WarmthTable()
         self._counters = Counters()
         self._outbox = Outbox()
         self._relay = Relay()
@@ -88,6 +91,11 @@
         """The load of the upstreams."""
         return self._board
 
+    @property
+    def warmth(self) -> WarmthTable:
+        """How much work each upstream may get."""
+        return self._warmth
+
     @property
     def counters(self) -> Counters:
         """Counts of what happened."""
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -92,8 +92,9 @@
 )
 def test_endings_count_against_the_upstream(ending, failures, sheds):
     node = a_node()
-    start_load(node, an_attempt())
-    end_load(node, an_attempt(), an_outcome(ending))
+    attempt = an_attempt()
+    start_load(node, attempt)
+    end_load(node, attempt, an_outcome(ending))
     load = node.board.load('strike-1')
     assert (load.failures, load.sheds, load.in_flight) == (failures, sheds, 0)
 
@@ -101,10 +102,10 @@
 def test_an_answer_moves_the_latency_and_ends_failures():
     node = a_node()
     for seconds in (0.01, 0.02):
-        start_load(node, an_attempt())
-        end_load(node, an_attempt(), an_outcome(Ending.LOST))
-        start_load(node, an_attempt())
-        end_load(node, an_attempt(), an_outcome(ended_at=seconds))
+        for outcome in an_outcome(Ending.LOST), an_outcome(ended_at=seconds):
+            attempt = an_attempt()
+            start_load(node, attempt)
+            end_load(node, attempt, outcome)
     load = node.board.load('strike-1')
     assert load.latency == pytest.approx(0.012)
     assert load.failures == 0
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -66,7 +66,7 @@
         for attempt in pool.sent:
             # What has crashed takes no further work.
             for other in nodes:
-                other.board.load(attempt.upstream.name).start()
+                other.board.load(attempt.upstream.name).start(attempt, 0)
         return reply
 
     async def run(loop):
