--- a/chervilstep/node.py
+++ b/chervilstep/node.py
@@ -1,11 +1,14 @@
 """The whole state of one entry instance."""
 
 import random
-from typing import final
+from typing import Final, final
 
 from chervilstep.board import Board
+from chervilstep.burn import BurnLedger
 from chervilstep.configuration import Configuration
 from chervilstep.counters import Counters
+from chervilstep.latencies import Latencies
+from chervilstep.leases import Holder
 from chervilstep.members import Members
 from chervilstep.messages import Outbox
 from chervilstep.paths import Paths
@@ -15,9 +18,13 @@
 from chervilstep.settings import Settings
 from chervilstep.shares import Shares
 from chervilstep.snapshot import Snapshot
+from chervilstep.voting import Leases
 from chervilstep.waiting import Waiting
 from chervilstep.warmth import WarmthTable
 
+#: Enough that no two processes draw the same incarnation.
+INCARNATION_BITS: Final = 52
+
 
 @final
 class Node:
@@ -29,8 +36,11 @@
 
     __slots__ = (
         '_board',
+        '_burn',
         '_configuration',
         '_counters',
+        '_latencies',
+        '_leases',
         '_members',
         '_outbox',
         '_relay',
@@ -53,9 +63,13 @@
         self._board = Board()
         self._warmth = WarmthTable()
         self._counters = Counters()
+        self._burn = BurnLedger()
+        self._latencies = Latencies()
         self._outbox = Outbox()
+        incarnation = rng.getrandbits(INCARNATION_BITS)
+        self._shares = Shares(incarnation)
+        self._leases = Leases(Holder(settings.name, incarnation))
         self._relay = Relay()
-        self._shares = Shares()
         self._waiting = Waiting()
         self._quarantine = Quarantine()
         self._paths = Paths()
@@ -101,11 +115,26 @@
         """Counts of what happened."""
         return self._counters
 
+    @property
+    def burn(self) -> BurnLedger:
+        """Counts of good and bad events for the service levels."""
+        return self._burn
+
+    @property
+    def latencies(self) -> Latencies:
+        """How long answers take."""
+        return self._latencies
+
     @property
     def outbox(self) -> Outbox:
         """Messages for peers that were not sent yet."""
         return self._outbox
 
+    @property
+    def leases(self) -> Leases:
+        """The shards of the customers' limits that this instance holds."""
+        return self._leases
+
     @property
     def relay(self) -> Relay:
         """What passes the configuration on between peers."""
