--- a/chervilstep/commands/borrowing.py
+++ b/chervilstep/commands/borrowing.py
@@ -9,6 +9,7 @@
     LoanOffer,
     LoanRequest,
     Need,
+    Terms,
     new_need,
     whole_units,
 )
@@ -35,6 +36,8 @@
 def renew_loans(node: Node, now: Instant) -> None:
     """Measures the demand, returns what is not needed, renews the rest."""
     node.shares.book.expire(now)
+    node.shares.book.forget(node.members.listed)
+    node.shares.forget_accounts(node.members.listed)
     for demand in node.shares.demands.values():
         _measure(demand, now)
     for lender, customers in queries.dealings(node, now).items():
@@ -52,22 +55,13 @@
     """Takes what a lender lends, unless the offer is late or a copy."""
     if not isinstance(message, LoanOffer):
         return
-    account = node.shares.account(sender)
-    if not account.is_open or account.sequence != message.sequence:
-        return
-    account.settle()
-    deadline = Deadline(account.sent_at + message.seconds)
-    if deadline.has_passed(now):
-        return
     for customer in message.terms:
-        terms = message.term(customer)
-        bucket = node.shares.bucket(customer)
-        bucket.put(sender, Grant(terms.rate, terms.burst, deadline), now)
-        bucket.credit(terms.tokens, now)
-        account.aim(customer, terms.target, terms.left)
-    if account.wanted:
-        for asked in message.terms:
-            _pace(node, asked, message.term(asked).tokens, now)
+        account = node.shares.account(sender, customer)
+        if account.is_open and account.sequence == message.sequence:
+            terms = message.term(customer)
+            deadline = Deadline(account.sent_at + message.seconds)
+            account.settle(terms.target, terms.left)
+            _take_terms(node, sender, customer, terms, deadline, now)
 
 
 def pull(node: Node, customer: str, now: Instant) -> None:
@@ -90,13 +84,33 @@
     if spare > 0:
         demand.restock(now + RESTOCK_SECONDS)
     for overpaid in queries.overpaid_lenders(node, customer, now):
-        _ask(node, customer, overpaid, now, 0, max(0, spare))
-        spare = 0
+        if spare > 0:
+            _ask(node, customer, overpaid, now, 0, spare)
+            spare = 0
+        else:
+            _give_back(node, overpaid, customer, now)
     lender = queries.lender_to_ask(node, customer, now)
     if spare > 0 and lender is not None:
         _ask(node, customer, lender, now, 0, spare)
 
 
+def _take_terms(
+    node: Node,
+    lender: str,
+    customer: str,
+    terms: Terms,
+    deadline: Deadline,
+    now: Instant,
+) -> None:
+    if deadline.has_passed(now):
+        return
+    bucket = node.shares.bucket(customer)
+    bucket.put(lender, Grant(terms.rate, terms.burst, deadline), now)
+    bucket.credit(terms.tokens, now)
+    if node.shares.account(lender, customer).wanted:
+        _pace(node, customer, terms.tokens, now)
+
+
 def _pace(node: Node, customer: str, tokens: float, now: Instant) -> None:
     """Tries the next lender, or leaves all alone when none has a token."""
     demand = node.shares.demand(customer)
@@ -193,7 +207,24 @@
     wanted: float,
     now: Instant,
 ) -> None:
-    account = node.shares.account(lender)
-    account.request(wanted, now)
+    sequence = _count_request(node)
+    for customer in needs:
+        account = node.shares.account(lender, customer)
+        account.request(sequence, wanted, now)
     incarnation = node.leases.holder.incarnation
-    node.outbox.put(lender, LoanRequest(incarnation, account.sequence, needs))
+    request = LoanRequest(incarnation, sequence, needs, is_return=False)
+    node.outbox.put(lender, request)
+
+
+def _give_back(node: Node, lender: str, customer: str, now: Instant) -> None:
+    need = _need(node, lender, customer, now, 0, 0)
+    incarnation = node.leases.holder.incarnation
+    sequence = _count_request(node)
+    needs = {customer: need.values}
+    request = LoanRequest(incarnation, sequence, needs, is_return=True)
+    node.outbox.put(lender, request)
+
+
+def _count_request(node: Node) -> int:
+    node.shares.count_request()
+    return node.shares.sequence
--- a/chervilstep/commands/leases.py
+++ b/chervilstep/commands/leases.py
@@ -25,7 +25,7 @@
 from chervilstep.messages import Message
 from chervilstep.node import Node
 from chervilstep.queries import leases as queries
-from chervilstep.types import Instant, new_deadline
+from chervilstep.types import Deadline, Instant, new_deadline
 
 TICK_SECONDS: Final = 0.5
 ROUND_SECONDS: Final = 2
@@ -50,7 +50,7 @@
     _take_platform_list(node)
     _finish_retirement(node, now)
     _drop_ended(node, now)
-    if leases.next_round.has_passed(now):
+    if leases.next_round.has_passed(now) or queries.has_failed(node, now):
         _start_round(node, now)
     _plan_attempts(node, now)
     if queries.has_news(node, now):
@@ -135,6 +135,7 @@
         return
     if not leases.voting.is_voting:
         return
+    _avoid_contests(node, now)
     load = LOAD_SECONDS * len(leases.held)
     for shard in queries.free_shards(node, now):
         if shard not in leases.attempts and shard not in leases.held:
@@ -142,16 +143,23 @@
             leases.plan(shard, new_deadline(now, delay))
 
 
+def _avoid_contests(node: Node, now: Instant) -> None:
+    """Puts off asking for shards that others are being granted."""
+    leases = node.leases
+    for shard in queries.contested_shards(node, now):
+        if shard in leases.attempts:
+            pause = node.rng.uniform(RETRY_SECONDS, 2 * RETRY_SECONDS)
+            leases.plan(shard, new_deadline(now, pause))
+
+
 def _start_round(node: Node, now: Instant) -> None:
     leases = node.leases
+    before = leases.round
     _postpone_failures(node, now)
     shards = queries.asked_shards(node, now)
     listings = leases.voting.listings
-    pause = ROUND_SECONDS if leases.voting.is_voting else START_ROUND_SECONDS
-    jitter = node.rng.uniform(1 - JITTER_PART, 1)
-    next_round = new_deadline(now, pause * jitter)
     round_ = Round(leases.round.number + 1, now, listings, shards)
-    leases.start_round(round_, next_round)
+    leases.start_round(round_, _next_round(node, now))
     if not listings:
         return
     _ask_for_homes(node)
@@ -163,13 +171,20 @@
         tuple(sorted(shards)),
         tuple(sorted(leases.held)),
     )
-    if queries.is_round_needed(node):
+    if queries.is_round_needed(node, before):
         leases.voting.clear_sightings()
         for name in sorted(queries.other_voters(node)):
             node.outbox.put(name, request)
     _vote_oneself(node, request, now)
 
 
+def _next_round(node: Node, now: Instant) -> Deadline:
+    is_voting = node.leases.voting.is_voting
+    pause = ROUND_SECONDS if is_voting else START_ROUND_SECONDS
+    jitter = node.rng.uniform(1 - JITTER_PART, 1)
+    return new_deadline(now, pause * jitter)
+
+
 def _postpone_failures(node: Node, now: Instant) -> None:
     leases = node.leases
     for shard in leases.round.shards - set(leases.held):
--- a/chervilstep/commands/lending.py
+++ b/chervilstep/commands/lending.py
@@ -24,23 +24,23 @@
     if not isinstance(message, LoanRequest):
         return
     borrower = Holder(sender, message.incarnation)
-    book = node.shares.book
-    if book.sequences.get(borrower, -1) >= message.sequence:
-        return
-    book.advance(borrower, message.sequence)
     seconds = float(LEASE_SECONDS)
     terms: dict[str, tuple[int, ...]] = {}
     for customer in message.needs:
+        if not _is_news(node, customer, borrower, message.sequence):
+            continue
         capital = queries.capital_of(node, customer, now)
         if capital is None:
             continue
         need = message.need(customer)
         _take_back(node, customer, capital, borrower, need, now)
-        terms[customer] = _lend(
-            node, customer, capital, borrower, need, now
-        ).values
-        seconds = min(seconds, capital.deadline.remaining(now))
-    node.outbox.put(sender, LoanOffer(message.sequence, seconds, terms))
+        if not message.is_return:
+            lent = _lend(node, customer, capital, borrower, need, now)
+            terms[customer] = lent.values
+            seconds = min(seconds, capital.deadline.remaining(now))
+    if terms:
+        offer = LoanOffer(message.sequence, seconds, terms)
+        node.outbox.put(sender, offer)
 
 
 def retain(node: Node, customer: str, now: Instant) -> None:
@@ -54,6 +54,17 @@
     bucket.put(node.settings.name, grant, now)
 
 
+def _is_news(
+    node: Node, customer: str, borrower: Holder, sequence: int
+) -> bool:
+    """Notes a request; False when it is a copy or was overtaken."""
+    book = node.shares.book
+    if book.last_sequence(customer, borrower) >= sequence:
+        return False
+    book.advance(customer, borrower, sequence)
+    return True
+
+
 def _take_back(
     node: Node,
     customer: str,
--- a/chervilstep/loan_messages.py
+++ b/chervilstep/loan_messages.py
@@ -148,15 +148,20 @@
 class LoanRequest(Message):
     """Says what a borrower holds, and asks for loans."""
 
-    __slots__ = ('_incarnation', '_needs', '_sequence')
+    __slots__ = ('_incarnation', '_is_return', '_needs', '_sequence')
 
     kind = 'loan-request'
-    fields = ('incarnation', 'sequence', 'needs')
+    fields = ('incarnation', 'sequence', 'needs', 'is_return')
 
     def __init__(
-        self, incarnation: int, sequence: int, needs: dict[str, tuple[int, ...]]
+        self,
+        incarnation: int,
+        sequence: int,
+        needs: dict[str, tuple[int, ...]],
+        is_return: bool,
     ) -> None:
         """Creates a request; ``needs`` are listed by customer."""
+        self._is_return = is_return
         self._incarnation = incarnation
         self._sequence = sequence
         self._needs = {name: tuple(values) for name, values in needs.items()}
@@ -176,6 +181,11 @@
         """The values of each ``Need`` by customer."""
         return self._needs
 
+    @property
+    def is_return(self) -> bool:
+        """Whether the borrower only gives back and awaits no offer."""
+        return self._is_return
+
     def need(self, customer: str) -> Need:
         """The need for ``customer``."""
         return Need(self._needs[customer])
--- a/chervilstep/loans.py
+++ b/chervilstep/loans.py
@@ -6,7 +6,7 @@
 itself. Splitting a conserved quantity goes back to O'Neil's escrow (1986).
 """
 
-from collections.abc import Mapping
+from collections.abc import Container, Mapping
 from typing import final
 
 from chervilstep.leases import Holder
@@ -97,21 +97,20 @@
     def __init__(self) -> None:
         """Starts without loans."""
         self._loans: dict[str, dict[Holder, Loan]] = {}
-        self._sequences: dict[Holder, int] = {}
+        self._sequences: dict[str, dict[Holder, int]] = {}
 
     @property
     def loans(self) -> Mapping[str, Mapping[Holder, Loan]]:
         """The loans by customer and borrower; some may have ended."""
         return self._loans
 
-    @property
-    def sequences(self) -> Mapping[Holder, int]:
-        """The last request taken in from each borrower."""
-        return self._sequences
+    def last_sequence(self, customer: str, borrower: Holder) -> int:
+        """The last request for ``customer`` taken in from ``borrower``."""
+        return self._sequences.get(customer, {}).get(borrower, -1)
 
-    def advance(self, borrower: Holder, sequence: int) -> None:
+    def advance(self, customer: str, borrower: Holder, sequence: int) -> None:
         """Notes the request, so that older ones are ignored."""
-        self._sequences[borrower] = sequence
+        self._sequences.setdefault(customer, {})[borrower] = sequence
 
     def put(self, customer: str, borrower: Holder, loan: Loan) -> None:
         """Replaces the loan of ``borrower``."""
@@ -129,32 +128,38 @@
             if not kept:
                 self._loans.pop(customer)
 
-    def forget(self, borrower: Holder) -> None:
-        """Forgets the requests of a process that is gone."""
-        self._sequences.pop(borrower, None)
+    def forget(self, names: Container[str]) -> None:
+        """Forgets the requests of instances that are gone and owe nothing."""
+        for customer, sequences in self._sequences.items():
+            loans = self._loans.get(customer, {})
+            self._sequences[customer] = {
+                borrower: sequence
+                for borrower, sequence in sequences.items()
+                if borrower.name in names or borrower in loans
+            }
 
 
 @final
 class Account:
-    """This instance's dealings with one lender."""
+    """This instance's dealings with one lender over one customer."""
 
     __slots__ = (
         '_is_open',
         '_left',
         '_sent_at',
         '_sequence',
-        '_targets',
+        '_target',
         '_wanted',
     )
 
-    def __init__(self, sequence: int) -> None:
-        """Starts before the request that follows ``sequence``."""
-        self._sequence = sequence
+    def __init__(self) -> None:
+        """Starts before the first request."""
+        self._sequence = -1
         self._sent_at: Instant = float('-inf')
         self._is_open = False
         self._wanted = float(0)
-        self._targets: dict[str, float] = {}
-        self._left: dict[str, float] = {}
+        self._target: float | None = None
+        self._left: float | None = None
 
     @property
     def sequence(self) -> int:
@@ -172,35 +177,32 @@
         return self._is_open
 
     @property
-    def targets(self) -> Mapping[str, float]:
-        """The depth by customer that the lender wants this one to keep."""
-        return self._targets
+    def wanted(self) -> float:
+        """The tokens that a call waits for by the last request."""
+        return self._wanted
 
     @property
-    def left(self) -> Mapping[str, float]:
-        """The tokens by customer that the lender had at its last offer."""
-        return self._left
+    def target(self) -> float | None:
+        """The depth that the lender wants this instance to keep."""
+        return self._target
 
     @property
-    def wanted(self) -> float:
-        """The tokens that a call waits for by the last request."""
-        return self._wanted
+    def left(self) -> float | None:
+        """The tokens that the lender had at its last offer."""
+        return self._left
 
-    def request(self, wanted: float, now: Instant) -> None:
+    def request(self, sequence: int, wanted: float, now: Instant) -> None:
         """Starts a request; an offer to the one before is void from now."""
+        self._sequence = sequence
         self._wanted = wanted
-        self._sequence += 1
         self._sent_at = now
         self._is_open = True
 
-    def settle(self) -> None:
-        """Notes that the request was answered; a copy counts no more."""
+    def settle(self, target: float, left: float) -> None:
+        """Notes what the lender offered; a copy counts no more."""
         self._is_open = False
-
-    def aim(self, customer: str, burst: float, left: float) -> None:
-        """Notes the depth to keep here and the tokens left at the lender."""
-        self._targets[customer] = burst
-        self._left[customer] = left
+        self._target = target
+        self._left = left
 
 
 @final
--- a/chervilstep/queries/borrowing.py
+++ b/chervilstep/queries/borrowing.py
@@ -75,9 +75,9 @@
     return max(demand.rate, demand.arrivals / SAMPLE_SECONDS)
 
 
-def may_ask(node: Node, lender: str, now: Instant) -> bool:
+def may_ask(node: Node, lender: str, customer: str, now: Instant) -> bool:
     """Whether a request out of turn cuts short no other request."""
-    account = node.shares.accounts.get(lender)
+    account = node.shares.accounts.get((lender, customer))
     return (
         account is None
         or not account.is_open
@@ -102,11 +102,12 @@
 def excess_of(node: Node, lender: str, customer: str) -> float:
     """The depth that the lender lent above what it wants kept here."""
     bucket = node.shares.buckets.get(customer)
-    account = node.shares.accounts.get(lender)
+    account = node.shares.accounts.get((lender, customer))
     if bucket is None or account is None or lender not in bucket.grants:
         return 0
-    burst = bucket.grants[lender].burst
-    return max(0, burst - account.targets.get(customer, burst))
+    if account.target is None:
+        return 0
+    return max(0, bucket.grants[lender].burst - account.target)
 
 
 def overpaid_lenders(
@@ -120,7 +121,7 @@
         lender
         for lender in bucket.grants
         if excess_of(node, lender, customer) >= LEAST_RETURN
-        and may_ask(node, lender, now)
+        and may_ask(node, lender, customer, now)
     )
 
 
@@ -129,7 +130,7 @@
     free = [
         lender
         for lender in lenders_of(node, customer)
-        if may_ask(node, lender, now)
+        if may_ask(node, lender, customer, now)
     ]
     return max(
         free,
@@ -149,14 +150,16 @@
 def is_pull_pending(node: Node, customer: str, now: Instant) -> bool:
     """Whether an answer may soon bring tokens of ``customer``."""
     return any(
-        not may_ask(node, lender, now) for lender in lenders_of(node, customer)
+        not may_ask(node, lender, customer, now)
+        for lender in lenders_of(node, customer)
     )
 
 
 def _hope(node: Node, lender: str, customer: str, now: Instant) -> float:
     """The tokens that a lender may have by now; unknown ones go first."""
-    account = node.shares.accounts.get(lender)
-    if account is None or customer not in account.left:
+    account = node.shares.accounts.get((lender, customer))
+    if account is None or account.left is None:
         return math.inf
-    minted = node.snapshot.customers[customer].rate * (now - account.sent_at)
-    return account.left[customer] + minted / SHARDS_PER_CUSTOMER
+    limits = node.snapshot.customers[customer]
+    minted = limits.rate * (now - account.sent_at)
+    return account.left + minted / SHARDS_PER_CUSTOMER
--- a/chervilstep/queries/leases.py
+++ b/chervilstep/queries/leases.py
@@ -1,5 +1,7 @@
 """Counts votes for leases and decides which shards to ask for."""
 
+import math
+
 from chervilstep.lease_messages import LeaseAnswer, LeaseRequest
 from chervilstep.leases import (
     SHARDS,
@@ -12,12 +14,15 @@
 from chervilstep.types import Deadline, Instant
 
 
-def is_round_needed(node: Node) -> bool:
-    """Whether the voters must be told or asked anything."""
+def is_round_needed(node: Node, before: Round) -> bool:
+    """Whether the voters must be told or asked anything.
+
+    Shards asked for in vain in the round ``before`` must be set free.
+    """
     leases = node.leases
-    if leases.round.shards or not leases.voting.is_voting:
+    if before.shards or leases.round.shards or node.members.is_leaving:
         return True
-    return node.members.is_leaving
+    return not leases.voting.is_voting
 
 
 def other_voters(node: Node) -> frozenset[str]:
@@ -37,13 +42,36 @@
 
 
 def asked_shards(node: Node, now: Instant) -> frozenset[int]:
-    """The shards held, and the ones whose turn to be asked for has come."""
-    due = {
-        shard
+    """The shards held, and the next ones whose turn to be asked for came.
+
+    Asking for no more than an equal part at once lets everyone get one.
+    """
+    due = sorted(
+        (attempt.at, shard)
         for shard, attempt in node.leases.attempts.items()
         if attempt.has_passed(now)
-    }
-    return frozenset(due.union(live_shards(node, now)))
+    )
+    part = math.ceil(SHARDS / max(1, len(node.members.listed)))
+    chosen = {shard for _, shard in due[:part]}
+    return frozenset(chosen.union(live_shards(node, now)))
+
+
+def contested_shards(node: Node, now: Instant) -> frozenset[int]:
+    """The shards that this voter has granted to other instances."""
+    leases = node.leases
+    return frozenset().union(
+        *(
+            ballot.shards
+            for holder, ballot in leases.voting.ballots.items()
+            if holder != leases.holder and not ballot.deadline.has_passed(now)
+        )
+    )
+
+
+def has_failed(node: Node, now: Instant) -> bool:
+    """Whether the last round left out a shard that it asked for."""
+    round_ = node.leases.round
+    return bool(round_.shards - set(live_shards(node, now)))
 
 
 def has_news(node: Node, now: Instant) -> bool:
--- a/chervilstep/queries/lending.py
+++ b/chervilstep/queries/lending.py
@@ -144,6 +144,8 @@
     if need.wanted > level:
         return 0
     pool = level - need.wanted - capital.burst * POOL_PART
+    if capital.burst < LEAST_PART:
+        pool = 0
     if need.spare > pool:
         return need.wanted + max(0, math.floor(pool))
     return need.wanted + need.spare
--- a/chervilstep/shares.py
+++ b/chervilstep/shares.py
@@ -1,6 +1,6 @@
 """Shares of the customers' rates and bursts that this instance may spend."""
 
-from collections.abc import Mapping
+from collections.abc import Container, Mapping
 from operator import attrgetter
 from typing import final
 
@@ -142,7 +142,7 @@
         self._sequence = sequence
         self._buckets: dict[str, Bucket] = {}
         self._demands: dict[str, Demand] = {}
-        self._accounts: dict[str, Account] = {}
+        self._accounts: dict[tuple[str, str], Account] = {}
         self._book = Book()
 
     @property
@@ -156,8 +156,13 @@
         return self._demands
 
     @property
-    def accounts(self) -> Mapping[str, Account]:
-        """The dealings with the lenders by name."""
+    def sequence(self) -> int:
+        """The number of the last request for loans."""
+        return self._sequence
+
+    @property
+    def accounts(self) -> Mapping[tuple[str, str], Account]:
+        """The dealings by the lender's and the customer's name."""
         return self._accounts
 
     @property
@@ -181,18 +186,19 @@
             self._demands[customer] = found
         return found
 
-    def account(self, lender: str) -> Account:
+    def account(self, lender: str, customer: str) -> Account:
         """The dealings with ``lender``, created on first use."""
-        found = self._accounts.get(lender)
-        if found is None:
-            found = Account(self._sequence)
-            self._accounts[lender] = found
-        return found
+        return self._accounts.setdefault((lender, customer), Account())
+
+    def count_request(self) -> None:
+        """Takes the next number for a request."""
+        self._sequence += 1
 
-    def account_sent_at(self, lender: str) -> Instant:
-        """When ``lender`` was last asked for anything."""
-        account = self._accounts.get(lender)
-        return account.sent_at if account else float('-inf')
+    def forget_accounts(self, lenders: Container[str]) -> None:
+        """Drops the dealings with instances that are not in ``lenders``."""
+        for lender, customer in tuple(self._accounts):
+            if lender not in lenders:
+                self._accounts.pop((lender, customer))
 
     def forget(self, customer: str) -> None:
         """Drops what is kept of a customer that is no longer configured."""
--- a/tests/rate_builders.py
+++ b/tests/rate_builders.py
@@ -24,7 +24,7 @@
 def a_borrower(sent_at=100.0):
     """An instance that waits for an offer of entry-1."""
     borrower = a_node(name='entry-2', seed=2)
-    borrower.shares.account('entry-1').request(1, sent_at)
+    borrower.shares.account('entry-1', CUSTOMER).request(1, 1, sent_at)
     return borrower
 
 
@@ -37,11 +37,14 @@
         'demand': 0,
         **changes,
     }
+    is_return = values.pop('is_return', False)
     need = new_need(values.pop('rate', 0), values.pop('burst', 0), **values)
-    return LoanRequest(INCARNATION, sequence, {CUSTOMER: need.values})
+    return LoanRequest(
+        INCARNATION, sequence, {CUSTOMER: need.values}, is_return
+    )
 
 
 def an_offer(borrower, seconds=5.0):
     """The offer of one token that ``borrower`` waits for."""
-    sequence = borrower.shares.account('entry-1').sequence
+    sequence = borrower.shares.account('entry-1', CUSTOMER).sequence
     return LoanOffer(sequence, seconds, {CUSTOMER: (0, 2000, 1000, 0, 0)})
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -64,6 +64,13 @@
     assert lender.shares.bucket(CUSTOMER).burst(100) == 20
 
 
+def test_lender_sends_no_offer_for_a_mere_return():
+    lender = a_lender(tokens=5)
+    ask(lender, a_request(sequence=1))
+    assert not ask(lender, a_request(sequence=2, is_return=True))
+    assert lender.shares.bucket(CUSTOMER).burst(100) == 20
+
+
 def test_loan_ends_with_the_lease_of_the_lender():
     lender = a_lender(tokens=5, lease_until=103)
     (offer,) = ask(lender, a_request())
@@ -74,8 +81,7 @@
 
 def test_lender_without_a_lease_lends_nothing():
     lender = a_lender(tokens=5, lease_until=103)
-    (offer,) = ask(lender, a_request(), now=103.0)
-    assert not offer.terms
+    assert not ask(lender, a_request(), now=103.0)
 
 
 def test_borrower_credits_an_offer_once():
@@ -96,7 +102,7 @@
 def test_borrower_ignores_an_offer_to_an_older_request():
     borrower = a_borrower()
     offer = an_offer(borrower)
-    borrower.shares.account('entry-1').request(1, 100.1)
+    borrower.shares.account('entry-1', CUSTOMER).request(2, 1, 100.1)
     take_loan_offer(borrower, 'entry-1', offer, 100.2)
     assert CUSTOMER not in borrower.shares.buckets
 
