Probe upstreams from one budget for the fleet; prove it and the cold start

Cause: a probe costs a server 6 ms, each instance's own probes would add up, and cold start has to hold for all instances together under faults. Change: rendezvous hashing names one prober for each upstream; a probe is charged before it is sent, a new prober waits a whole period, a peer's result counts as one's own probe, and results have a deadline. Only upstreams whose policy reads reports are probed, so home-slots costs no probe at all. Ruled out: a share of the budget for each instance; it grows with the number of lists too, and leaves upstreams without a prober. Conclusion: with one list of instances the bound is one probe a period and the level itself; with L lists in use it is L times these.

--- a/chervilstep/adapters/instance.py
+++ b/chervilstep/adapters/instance.py
@@ -16,6 +16,7 @@
 from chervilstep.adapters.entry import EntryFront, new_entry_front
 from chervilstep.adapters.peers import PeerStreams, new_peer_streams
 from chervilstep.adapters.pool import HttpPool, new_pool
+from chervilstep.adapters.prober import new_prober
 from chervilstep.adapters.sources import new_source
 from chervilstep.adapters.streams import split_address
 from chervilstep.adapters.ticker import start_ticks
@@ -129,6 +130,8 @@
         self._tasks = start_ticks(self._node, self._clock)
         self._tasks.append(loop.create_task(source.run()))
         self._tasks.append(loop.create_task(self._peers.run()))
+        prober = new_prober(self._node, self._clock)
+        self._tasks.append(loop.create_task(prober.run()))
 
     def _farewell(self) -> None:
         for command in FAREWELLS:
--- a/chervilstep/commands/warmth_news.py
+++ b/chervilstep/commands/warmth_news.py
@@ -6,9 +6,11 @@
 from chervilstep.messages import EVERY_PEER, Message
 from chervilstep.node import Node
 from chervilstep.queries.warmth_news import (
+    NEWS_BYTES_PER_SECOND,
     accepts,
     all_beliefs,
     belief_of,
+    may_send_news,
     peer_count,
 )
 from chervilstep.types import Instant, new_deadline
@@ -17,10 +19,6 @@
 
 #: What a belief takes up on the wire, with its share of the frame.
 BELIEF_BYTES: Final = 40
-#: Bytes a second that an instance spends on news, over all peers.
-NEWS_BYTES_PER_SECOND: Final = 1500
-#: Bytes that it may spend at once after a quiet time.
-NEWS_BURST_BYTES: Final = 15000
 #: The longest time for which a peer's word closes an upstream.
 MAX_CLOSED_SECONDS: Final = 30
 #: How often news that did not fit the budget is tried again.
@@ -31,18 +29,22 @@
 def flush_news(node: Node, now: Instant) -> None:
     """Sends the news that the budget allows, the oldest first."""
     table = node.warmth
-    cost = BELIEF_BYTES * peer_count(node, now) / NEWS_BYTES_PER_SECOND
-    burst = NEWS_BURST_BYTES / NEWS_BYTES_PER_SECOND
     beliefs = []
     for name in table.changed:
-        if table.may_spend(burst, now):
+        if may_send_news(node, now):
             beliefs.append(belief_of(name, table.record(name), now))
             table.told(name)
-            table.spend(cost, now)
-    if beliefs and cost:
+            spend_news(node, BELIEF_BYTES, now)
+    if beliefs and peer_count(node, now):
         node.outbox.put(EVERY_PEER, new_news(beliefs))
 
 
+def spend_news(node: Node, size_bytes: int, now: Instant) -> None:
+    """Takes a message of this size to every peer from the budget of news."""
+    total_bytes = size_bytes * peer_count(node, now)
+    node.warmth.spend(total_bytes / NEWS_BYTES_PER_SECOND, now)
+
+
 @HANDLERS.register(WarmthAsk.kind)
 def hear_ask(node: Node, peer: str, message: Message, now: Instant) -> None:
     """Answers what this instance believes of a service's upstreams."""
--- a/chervilstep/node.py
+++ b/chervilstep/node.py
@@ -12,6 +12,7 @@
 from chervilstep.members import Members
 from chervilstep.messages import Outbox
 from chervilstep.paths import Paths
+from chervilstep.probes import ProbePlan
 from chervilstep.quarantine import Quarantine
 from chervilstep.relay import Relay
 from chervilstep.retries import RetryBudget
@@ -45,6 +46,7 @@
         '_outbox',
         '_relay',
         '_paths',
+        '_probes',
         '_quarantine',
         '_retries',
         '_rng',
@@ -62,6 +64,7 @@
         self._members = Members(settings.name)
         self._board = Board()
         self._warmth = WarmthTable()
+        self._probes = ProbePlan()
         self._counters = Counters()
         self._burn = BurnLedger()
         self._latencies = Latencies()
@@ -110,6 +113,11 @@
         """How much work each upstream may get."""
         return self._warmth
 
+    @property
+    def probes(self) -> ProbePlan:
+        """The upstreams that this instance probes."""
+        return self._probes
+
     @property
     def counters(self) -> Counters:
         """Counts of what happened."""
--- a/chervilstep/queries/warmth_news.py
+++ b/chervilstep/queries/warmth_news.py
@@ -1,5 +1,7 @@
 """Queries on what instances tell each other of upstreams."""
 
+from typing import Final
+
 from chervilstep.node import Node
 from chervilstep.queries.homes import live_instances
 from chervilstep.queries.warmth import may_eject
@@ -8,6 +10,16 @@
 from chervilstep.warmth import WARM, Warmth
 from chervilstep.warmth_messages import Belief
 
+#: Bytes a second that an instance spends on news, over all peers.
+NEWS_BYTES_PER_SECOND: Final = 1500
+#: Bytes that it may spend at once after a quiet time.
+NEWS_BURST_BYTES: Final = 15000
+
+
+def may_send_news(node: Node, now: Instant) -> bool:
+    """Whether the budget of bytes allows another message to every peer."""
+    return node.warmth.may_spend(NEWS_BURST_BYTES / NEWS_BYTES_PER_SECOND, now)
+
 
 def belief_of(name: str, record: Warmth, now: Instant) -> Belief:
     """The belief to pass on."""
--- a/lab/choice.py
+++ b/lab/choice.py
@@ -5,7 +5,7 @@
 import defopt
 
 from lab import candidates
-from lab.virtual import Fleet, Options
+from lab.choice_model import Fleet, Options
 
 BASELINES = ('random', 'round-robin', 'least-in-flight', 'two-choices')
 POLICIES = (*BASELINES, 'home-slots')
