Check documents and settings from the command line

Cause: operators need every fault with its place before they publish, and an unknown policy in an accepted section ended each call with an internal error.

Change: the subcommand check lists faults with file, line and dotted path, and conflicts between sections that are given together; an unknown policy gives way to the default and is reported; the status page shows faults and conflicts as JSON values and for how long the configuration is current.

Ruled out: refusing a section for an unknown policy; the verdict would depend on the version of the instance.

Conclusion: tests of check, composition and document pass.

--- /dev/null
+++ b/chervilstep/cli/check.py
@@ -0,0 +1,78 @@
+"""Checks documents and settings without starting anything."""
+
+import pathlib
+import sys
+from collections.abc import Iterable, Iterator
+from typing import Final
+
+from chervilstep.adapters.capabilities import load_capabilities
+from chervilstep.cli.registry import SUBCOMMANDS
+from chervilstep.content import SectionContent
+from chervilstep.exceptions import SectionError, SettingsError
+from chervilstep.queries.composition import compose
+from chervilstep.queries.document import parse_section
+from chervilstep.queries.places import line_of
+from chervilstep.queries.settings import SETTING_NAMES, parse_settings
+from chervilstep.queries.tables import parse_toml
+
+EXIT_SOUND: Final = 0
+EXIT_FAULTS: Final = 1
+EXIT_UNREADABLE: Final = 2
+
+
+@SUBCOMMANDS.register('check')
+def check(*paths: str) -> int:
+    """Checks sections of the document, or settings, and lists every fault.
+
+    Sections that are given together are checked against each other as well.
+    The exit code is 0 when all is sound, 1 when there are faults and 2 when a
+    file cannot be read.
+
+    :param paths: TOML files, or directories of sections
+    """
+    load_capabilities()
+    try:
+        texts = {path: path.read_text('utf-8') for path in _files(paths)}
+    except (OSError, UnicodeDecodeError) as error:
+        sys.stderr.write(f'{error}\n')
+        return EXIT_UNREADABLE
+    if not texts:
+        sys.stderr.write('no TOML file was given\n')
+        return EXIT_UNREADABLE
+    faults = list(_faults_of(texts))
+    for fault in faults:
+        sys.stdout.write(f'{fault}\n')
+    return EXIT_FAULTS if faults else EXIT_SOUND
+
+
+def _files(paths: Iterable[str]) -> Iterator[pathlib.Path]:
+    for path in map(pathlib.Path, paths):
+        if path.is_dir():
+            yield from sorted(path.glob('*.toml'))
+        else:
+            yield path
+
+
+def _faults_of(texts: dict[pathlib.Path, str]) -> Iterator[str]:
+    contents: dict[str, SectionContent] = {}
+    for path, text in texts.items():
+        try:
+            if _holds_settings(text):
+                parse_settings(text)
+            else:
+                contents[str(path)] = parse_section(text)
+        except (SectionError, SettingsError) as error:
+            yield from _placed(path, text, str(error))
+    if len(contents) > 1:
+        yield from compose(contents).conflicts
+
+
+def _holds_settings(text: str) -> bool:
+    return any(name in SETTING_NAMES for name in parse_toml(text, []))
+
+
+def _placed(path: pathlib.Path, text: str, message: str) -> Iterator[str]:
+    for fault in message.splitlines():
+        line = line_of(text, fault.partition(':')[0])
+        place = f'{path}:{line}' if line else str(path)
+        yield f'{place}: {fault}'
--- a/chervilstep/queries/composition.py
+++ b/chervilstep/queries/composition.py
@@ -7,9 +7,12 @@
 """
 
 from collections.abc import Callable, Iterable, Iterator, Mapping
-from typing import Final, TypeAlias, TypeVar, final
+from typing import TypeAlias, TypeVar, final
 
 from chervilstep.content import SectionContent
+from chervilstep.hooks import POLICIES
+from chervilstep.queries.kinds import DEFAULT_POLICY
+from chervilstep.queries.tables import suggestion
 from chervilstep.snapshot import (
     Customer,
     Route,
@@ -23,9 +26,6 @@
 #: The definitions of one kind in each section, by section and name.
 Definitions: TypeAlias = Iterable[tuple[str, Mapping[str, Definition]]]
 
-#: The policy of the placeholder for a service that is not defined.
-NO_POLICY: Final = 'random'
-
 
 @final
 class Composition:
@@ -76,6 +76,7 @@
     )
     conflicts.extend(_missing_references(routes, services, customers))
     conflicts.extend(_missing_zones(services.values(), zones))
+    conflicts.extend(_unknown_policies(services.values()))
     snapshot = Snapshot(
         zones,
         _without_shared_upstreams(
@@ -198,12 +199,22 @@
                 )
 
 
+def _unknown_policies(services: Iterable[Service]) -> Iterator[str]:
+    for service in services:
+        if service.policy not in POLICIES.names:
+            hint = suggestion(service.policy, POLICIES.names)
+            yield (
+                f'service {service.name!r}: unknown policy {service.policy!r}'
+                f'{hint}; {DEFAULT_POLICY!r} is used'
+            )
+
+
 def _placeholders(
     services: Mapping[str, Service], routes: Iterable[Route]
 ) -> list[Service]:
     """Returns a service without upstreams for each missing one."""
     missing = {route.service for route in routes} - set(services)
-    return [Service(name, (), NO_POLICY) for name in sorted(missing)]
+    return [Service(name, (), DEFAULT_POLICY) for name in sorted(missing)]
 
 
 def _without_shared_upstreams(
@@ -224,7 +235,9 @@
 
 def _keep_upstreams(service: Service, shared: set[str]) -> Service:
     kept = [item for item in service.upstreams if item.name not in shared]
-    return Service(service.name, kept, service.policy)
+    is_known = service.policy in POLICIES.names
+    policy = service.policy if is_known else DEFAULT_POLICY
+    return Service(service.name, kept, policy)
 
 
 def _without_shared_digests(
--- a/chervilstep/queries/status.py
+++ b/chervilstep/queries/status.py
@@ -2,6 +2,7 @@
 
 from chervilstep.hooks import STATUS_PARTS
 from chervilstep.node import Node
+from chervilstep.queries.relaying import remaining_of
 from chervilstep.types import Instant
 
 
@@ -35,14 +36,19 @@
 
 @STATUS_PARTS.register('configuration')
 def describe_configuration(node: Node, now: Instant) -> dict[str, object]:
-    """The accepted revision of each section, and the faults."""
+    """The accepted revisions, and what is not in force for which reason."""
     configuration = node.configuration
     return {
         'sections': {
             name: section.revision
             for name, section in configuration.sections.items()
         },
-        'faults': dict(configuration.faults),
+        'faults': {
+            name: {'revision': fault.revision, 'message': fault.message}
+            for name, fault in configuration.faults.items()
+        },
+        'conflicts': list(configuration.conflicts),
+        'current_for_seconds': round(remaining_of(node, now), 1),
         'zones': {
             name: state.value for name, state in node.snapshot.zones.items()
         },
--- /dev/null
+++ b/tests/test_check.py
@@ -0,0 +1,86 @@
+"""Tests of the subcommand that checks files."""
+
+import pytest
+
+from chervilstep.cli.check import check
+from chervilstep.queries.places import line_of
+from tests.document_builders import customer_text, route_text, service_text
+
+SETTINGS = """
+name = "entry-1"
+zone = "akl"
+entry_address = "127.0.0.1:8001"
+peer_address = "127.0.0.1:9001"
+admin_address = "127.0.0.1:7001"
+configuration_source = "platform://127.0.0.1:2379"
+peer_secret = "secret"
+"""
+
+
+def checked(capsys, folder, **texts):
+    for name, text in texts.items():
+        (folder / f'{name}.toml').write_text(text)
+    code = check(str(folder))
+    printed = capsys.readouterr().out.replace(f'{folder}/', '')
+    return code, printed.splitlines()
+
+
+def test_sound_files(capsys, tmp_path):
+    assert checked(
+        capsys, tmp_path, settings=SETTINGS, customers=customer_text()
+    ) == (0, [])
+
+
+def test_every_fault_has_its_place(capsys, tmp_path):
+    code, lines = checked(
+        capsys,
+        tmp_path,
+        routes=route_text(path='strike'),
+        services=service_text(zone='A'),
+        settings=SETTINGS.replace('zone', 'zoen'),
+        syntax='[zones\n',
+    )
+    assert code == 1
+    assert [line.partition(': ')[0] for line in lines] == [
+        'routes.toml:3',
+        'services.toml:7',
+        'settings.toml:3',
+        'settings.toml',
+        'syntax.toml',
+    ]
+    assert "zoen: unknown name; did you mean 'zone'?" in lines[2]
+    assert 'zone: is missing' in lines[3]
+    assert 'line 1' in lines[4]
+
+
+def test_sections_are_checked_against_each_other(capsys, tmp_path):
+    code, lines = checked(
+        capsys, tmp_path, routes=route_text(), customers=customer_text()
+    )
+    assert code == 1
+    assert lines == ["route 'strike': service 'strike' is missing"]
+
+
+def test_unreadable_files(tmp_path):
+    assert check(str(tmp_path / 'missing.toml')) == 2
+    assert check(str(tmp_path)) == 2
+
+
+@pytest.mark.parametrize(
+    ('path', 'line'),
+    [
+        ('services.a', 1),
+        ('services.a.slots', 2),
+        ('services.a.upstreams[1].name', 6),
+        ('services.a.upstreams[1].zone', 5),
+        ('services.a.upstreams', 3),
+        ('services.b', None),
+    ],
+)
+def test_line_of(path, line):
+    text = (
+        '[services.a]\nslots = 3\n'
+        '[[services.a.upstreams]]\nname = "x"\n'
+        '[[services.a.upstreams]]\nname = "y"\n'
+    )
+    assert line_of(text, path) == line
--- a/tests/test_composition.py
+++ b/tests/test_composition.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from chervilstep.adapters.capabilities import load_capabilities
 from chervilstep.queries.access import authenticate
 from chervilstep.queries.composition import compose
 from chervilstep.queries.document import parse_section
@@ -27,6 +28,8 @@
 
 OPEN = 'open = true'
 
+load_capabilities()
+
 
 def route_of(snapshot, method, path):
     route = resolve(snapshot, method, path)
@@ -176,3 +179,10 @@
     backwards = dict(reversed(given.items()))
     assert compose(given).conflicts == compose(backwards).conflicts
     assert parse_section(zones_text()).zones == {}
+
+
+def test_unknown_policy_gives_way_to_the_default():
+    text = service_text().replace('slots', 'policy = "two-choice"\nslots')
+    composition = compose(contents(services=text))
+    assert composition.snapshot.services['strike'].policy == 'two-choices'
+    assert "mean 'two-choices'" in composition.conflicts[0]
--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from chervilstep.adapters.capabilities import load_capabilities
 from chervilstep.exceptions import SectionError
 from chervilstep.queries.composition import compose
 from chervilstep.queries.document import parse_section
@@ -15,6 +16,7 @@
     service_text,
 )
 
+load_capabilities()
 EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
 
 
