--- a/tests/builders.py
+++ b/tests/builders.py
@@ -26,14 +26,14 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
-def a_settings(name='entry-1', zone='akl'):
+def a_settings(name='entry-1', zone='akl', source='file:unused.toml'):
     return Settings(
         name=name,
         zone=zone,
         entry_address='127.0.0.1:0',
         peer_address='127.0.0.1:0',
         admin_address='127.0.0.1:0',
-        configuration_source='file:unused.toml',
+        configuration_source=source,
         peer_secret='test-secret',
     )
 
