Poll the platform when a majority hides that it can be read; take seeds

Cause: watchers that lose the platform confirm themselves by a majority, so the others kept relying on them and a change stayed unread beyond 8 s (seen in test_change_with_every_watcher_gone[cut off]). An instance that starts while the platform is down knew no peer.

Change: how recent the last read of the platform is travels apart from the confirmation, and decides who reads the platform. Settings name seeds; a peer passes its list of instances on.

Ruled out: ending the majority's confirmation while anyone polls; it would stop service in an outage.

--- a/chervilstep/adapters/peers.py
+++ b/chervilstep/adapters/peers.py
@@ -110,7 +110,10 @@
         wanted = neighbours(self._node.members)
         own_name = self._node.settings.name
         for name in wanted:
-            if dials(own_name, name) and name not in self._dialling:
+            # A seed that does not know of this instance will not dial it.
+            is_seed = not self._node.members.revision
+            must_dial = is_seed or dials(own_name, name)
+            if must_dial and name not in self._dialling:
                 self._dialling[name] = asyncio.create_task(self._dial(name))
         for name in set(self._dialling) - wanted:
             self._dialling.pop(name).cancel()
--- a/chervilstep/adapters/platform.py
+++ b/chervilstep/adapters/platform.py
@@ -11,6 +11,7 @@
 
 from chervilstep.adapters.source import SOURCES
 from chervilstep.adapters.streams import NumericResolver
+from chervilstep.commands.listing import take_seeds
 from chervilstep.commands.platform import take_instances, take_sections
 from chervilstep.exceptions import PlatformError
 from chervilstep.members import Instance, InstanceState
@@ -35,7 +36,14 @@
 ANSWER_SECONDS: Final = 2.0
 FIRST_READ_JITTER_SECONDS: Final = 0.5
 MIN_BACK_OFF_SECONDS: Final = 0.25
+MAX_DOUBLINGS: Final = 8
 MAX_BACK_OFF_SECONDS: Final = 2.0
+#: Instances that do not watch try less often while the platform is down.
+MAX_POLL_BACK_OFF_SECONDS: Final = 4.0
+BACK_OFF_LIMITS: Final = {
+    Duty.WATCH: MAX_BACK_OFF_SECONDS,
+    Duty.POLL: MAX_POLL_BACK_OFF_SECONDS,
+}
 MAX_ANSWER_BYTES: Final = 64 * 1024 * 1024
 MS_PER_SECOND: Final = 1000
 
@@ -125,6 +133,7 @@
 
     async def run(self) -> None:
         """Follows the list of instances and the document."""
+        take_seeds(self._node)
         await asyncio.sleep(self._jitter(FIRST_READ_JITTER_SECONDS))
         with contextlib.closing(self._client):
             async with asyncio.TaskGroup() as group:
@@ -138,7 +147,7 @@
                 await self._read_instances()
             except PlatformError:
                 failures += 1
-                await self._back_off(failures)
+                await self._back_off(failures, MAX_POLL_BACK_OFF_SECONDS)
             else:
                 failures = 0
                 await asyncio.sleep(self._jitter(INSTANCES_PAUSE_SECONDS))
@@ -156,7 +165,7 @@
                 await self._read_sections(duty)
             except PlatformError:
                 failures += 1
-                await self._back_off(failures)
+                await self._back_off(failures, BACK_OFF_LIMITS[duty])
             else:
                 failures = 0
 
@@ -201,9 +210,11 @@
             self._node.counters.add(BAD_INSTANCES)
             return None
 
-    async def _back_off(self, failures: int) -> None:
+    async def _back_off(self, failures: int, limit: float) -> None:
         self._node.counters.add(FAILURES)
-        longest = min(MAX_BACK_OFF_SECONDS, MIN_BACK_OFF_SECONDS * 2**failures)
+        longest = min(
+            limit, MIN_BACK_OFF_SECONDS * 2 ** min(failures, MAX_DOUBLINGS)
+        )
         await asyncio.sleep(self._jitter(longest))
 
     def _jitter(self, longest: float) -> float:
--- a/chervilstep/commands/platform.py
+++ b/chervilstep/commands/platform.py
@@ -38,8 +38,10 @@
     node.configuration.see(answer.revision)
     if is_alone(node):
         node.relay.introduce()
+    until = new_deadline(known_at, HOLD_SECONDS)
+    node.configuration.note_read(until)
     if node.configuration.sections:
-        confirm(node, new_deadline(known_at, HOLD_SECONDS), now)
+        confirm(node, until, now)
 
 
 def take_instances(
--- a/chervilstep/commands/relaying.py
+++ b/chervilstep/commands/relaying.py
@@ -10,6 +10,7 @@
     inquiry_recipients,
     is_alone,
     needs_quorum,
+    platform_remaining_of,
     quorum_until,
     remaining_of,
     vouchers_of,
@@ -54,6 +55,7 @@
         message.number,
         node.configuration.fingerprint,
         remaining_of(node, now),
+        platform_remaining_of(node, now),
         node.relay.is_introduced,
         highest_revision(node.configuration),
         vouchers_of(node, now) if message.wants_vouchers else (),
@@ -74,15 +76,27 @@
         return
     node.relay.close(peer)
     node.configuration.see(message.seen_revision)
-    if message.fingerprint != node.configuration.fingerprint:
+    if message.fingerprint == node.configuration.fingerprint:
+        _agree(node, peer, message, inquiry.sent_at, now)
+    else:
         node.relay.distrust(peer)
         request_revisions(node, peer, None)
-        return
-    _take_vouchers(node, peer, message, inquiry.sent_at)
+
+
+def _agree(
+    node: Node,
+    peer: str,
+    message: ConfigSummary,
+    sent_at: Instant,
+    now: Instant,
+) -> None:
+    """Takes in the answer of a peer that has the same sections."""
+    _take_vouchers(node, peer, message, sent_at)
     if message.is_introduced and message.fingerprint:
         node.relay.introduce()
-    remaining = min(message.remaining, HOLD_SECONDS)
-    confirm(node, new_deadline(inquiry.sent_at, remaining), now)
+    read_until = _deadline(sent_at, message.platform_remaining)
+    node.configuration.note_read(read_until)
+    confirm(node, _deadline(sent_at, message.remaining), now)
     confirm_by_quorum(node, now)
 
 
@@ -97,8 +111,11 @@
     node.relay.vouch(peer, new_deadline(sent_at, HOLD_SECONDS))
     for name, seconds in message.vouchers:
         if name != node.members.self_name:
-            until = new_deadline(sent_at, min(seconds, HOLD_SECONDS))
-            node.relay.vouch(name, until)
+            node.relay.vouch(name, _deadline(sent_at, seconds))
+
+
+def _deadline(sent_at: Instant, seconds: float) -> Deadline:
+    return new_deadline(sent_at, min(seconds, HOLD_SECONDS))
 
 
 def confirm_by_quorum(node: Node, now: Instant) -> None:
--- a/chervilstep/configuration.py
+++ b/chervilstep/configuration.py
@@ -83,6 +83,7 @@
         '_conflicts',
         '_faults',
         '_fingerprint',
+        '_platform_until',
         '_sections',
         '_seen_revision',
         '_snapshot',
@@ -97,6 +98,7 @@
         self._confirmed_until: Deadline | None = None
         self._fingerprint = b''
         self._seen_revision = 0
+        self._platform_until: Deadline | None = None
 
     @property
     def sections(self) -> Mapping[str, Section]:
@@ -136,6 +138,20 @@
         """
         return self._seen_revision
 
+    @property
+    def platform_until(self) -> Deadline | None:
+        """Until when somebody's read of the platform counts as recent.
+
+        Unlike a confirmation, a majority that cannot read does not extend it.
+        """
+        return self._platform_until
+
+    def note_read(self, until: Deadline) -> None:
+        """Notes that this instance, or a peer, read the platform."""
+        known = self._platform_until
+        if known is None or until.at > known.at:
+            self._platform_until = until
+
     def see(self, revision: int) -> None:
         """Notes a revision that the platform has reached."""
         self._seen_revision = max(self._seen_revision, revision)
--- a/chervilstep/fields.py
+++ b/chervilstep/fields.py
@@ -10,7 +10,7 @@
 Expected: TypeAlias = type[object] | tuple[type[object], ...]
 
 #: The longest list that one field may hold.
-MAX_PAIRS: Final = 1000
+MAX_ITEMS: Final = 1000
 
 
 def checked(found: Field, expected: Expected) -> Field:
@@ -32,8 +32,18 @@
     Raises:
         PeerError: The list is too long or holds something else.
     """
-    if len(found) > MAX_PAIRS:
-        raise PeerError('a list in a message is too long')
     return tuple(
-        (checked(name, str), checked(entry, expected)) for name, entry in found
+        (checked(name, str), checked(entry, expected))
+        for name, entry in checked_length(found)
     )
+
+
+def checked_length(found: Sequence[Field]) -> Sequence[Field]:
+    """Returns a bounded list.
+
+    Raises:
+        PeerError: The list is too long.
+    """
+    if len(found) > MAX_ITEMS:
+        raise PeerError('a list in a message is too long')
+    return found
--- a/chervilstep/queries/relaying.py
+++ b/chervilstep/queries/relaying.py
@@ -19,7 +19,8 @@
 WATCHERS: Final = 3
 #: The rank of an instance divided by the ranks that it may ask.
 RANK_STEP: Final = 4
-#: An instance reads the platform itself when less than this remains.
+#: An instance reads the platform itself when less than this remains of the
+#: last read that it knows of.
 FALLBACK_SECONDS: Final = 2.5
 #: A watcher asks for a quorum when less than this remains: by then the
 #: platform has failed to answer for a few seconds.
@@ -47,7 +48,7 @@
         return Duty.WATCH
     if _is_in_grace(node, now):
         return Duty.RELY
-    if remaining_of(node, now) < FALLBACK_SECONDS:
+    if platform_remaining_of(node, now) < FALLBACK_SECONDS:
         return Duty.POLL
     return Duty.RELY
 
@@ -58,6 +59,12 @@
     return until.remaining(now) if until else 0
 
 
+def platform_remaining_of(node: Node, now: Instant) -> float:
+    """For how many seconds somebody's read of the platform is recent."""
+    until = node.configuration.platform_until
+    return until.remaining(now) if until else 0
+
+
 def live_peers(node: Node, now: Instant) -> tuple[str, ...]:
     """The peers that are heard of, by rank."""
     alive = [
--- a/chervilstep/queries/revisions.py
+++ b/chervilstep/queries/revisions.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from chervilstep.configuration import Configuration, Section
-from chervilstep.fields import MAX_PAIRS
+from chervilstep.fields import MAX_ITEMS
 from chervilstep.platform import PlatformAnswer
 from chervilstep.sync_messages import Revisions, RevisionsPage
 
@@ -50,7 +50,7 @@
     )
     above = known[entries - 1][0] - 1 if len(known) > entries else 0
     page = [(name, revision) for revision, name in known if revision > above]
-    return RevisionsPage(below, above, tuple(page[:MAX_PAIRS]))
+    return RevisionsPage(below, above, tuple(page[:MAX_ITEMS]))
 
 
 def newer_than_page(
--- a/chervilstep/queries/settings.py
+++ b/chervilstep/queries/settings.py
@@ -7,6 +7,7 @@
 from chervilstep.settings import (
     DEFAULT_BODY_LIMIT_BYTES,
     DEFAULT_HEADER_LIMIT_BYTES,
+    Limits,
     Settings,
 )
 
@@ -21,6 +22,7 @@
     'peer_secret',
     'body_limit_bytes',
     'header_limit_bytes',
+    'seeds',
 )
 MIN_LIMIT_BYTES: Final = 1024
 MAX_BODY_LIMIT_BYTES: Final = 64 * 1024 * 1024
@@ -52,16 +54,27 @@
         admin_address=table.address('admin_address'),
         configuration_source=table.text('configuration_source'),
         peer_secret=table.text('peer_secret'),
-        body_limit_bytes=table.integer(
+        limits=_read_limits(table),
+        seeds=_read_seeds(table.table('seeds')),
+    )
+
+
+def _read_limits(table: Table) -> Limits:
+    return Limits(
+        table.integer(
             'body_limit_bytes',
             MIN_LIMIT_BYTES,
             MAX_BODY_LIMIT_BYTES,
             DEFAULT_BODY_LIMIT_BYTES,
         ),
-        header_limit_bytes=table.integer(
+        table.integer(
             'header_limit_bytes',
             MIN_LIMIT_BYTES,
             MAX_HEADER_LIMIT_BYTES,
             DEFAULT_HEADER_LIMIT_BYTES,
         ),
     )
+
+
+def _read_seeds(table: Table) -> dict[str, str]:
+    return {name: table.address(name) for name in table.names}
--- a/chervilstep/settings.py
+++ b/chervilstep/settings.py
@@ -1,24 +1,51 @@
 """The settings of one instance, as its TOML file gives them."""
 
+from collections.abc import Mapping
 from typing import Final, final
 
 DEFAULT_BODY_LIMIT_BYTES: Final = 1024 * 1024
 DEFAULT_HEADER_LIMIT_BYTES: Final = 16 * 1024
 
 
+@final
+class Limits:
+    """The bounds of what an instance reads."""
+
+    __slots__ = ('_body_bytes', '_header_bytes')
+
+    def __init__(
+        self,
+        body_bytes: int = DEFAULT_BODY_LIMIT_BYTES,
+        header_bytes: int = DEFAULT_HEADER_LIMIT_BYTES,
+    ) -> None:
+        """Creates limits of bodies and heads."""
+        self._body_bytes = body_bytes
+        self._header_bytes = header_bytes
+
+    @property
+    def body_bytes(self) -> int:
+        """The largest body of a request or an answer."""
+        return self._body_bytes
+
+    @property
+    def header_bytes(self) -> int:
+        """The largest head of a request or an answer."""
+        return self._header_bytes
+
+
 @final
 class Settings:
     """What one instance is told at its start."""
 
     __slots__ = (
         '_admin_address',
-        '_body_limit_bytes',
         '_configuration_source',
         '_entry_address',
-        '_header_limit_bytes',
+        '_limits',
         '_name',
         '_peer_address',
         '_peer_secret',
+        '_seeds',
         '_zone',
     )
 
@@ -32,8 +59,8 @@
         admin_address: str,
         configuration_source: str,
         peer_secret: str,
-        body_limit_bytes: int = DEFAULT_BODY_LIMIT_BYTES,
-        header_limit_bytes: int = DEFAULT_HEADER_LIMIT_BYTES,
+        limits: Limits | None = None,
+        seeds: Mapping[str, str] | None = None,
     ) -> None:
         """Creates settings; addresses are ``ip:port``."""
         self._name = name
@@ -43,8 +70,8 @@
         self._admin_address = admin_address
         self._configuration_source = configuration_source
         self._peer_secret = peer_secret
-        self._body_limit_bytes = body_limit_bytes
-        self._header_limit_bytes = header_limit_bytes
+        self._limits = limits or Limits()
+        self._seeds = dict(seeds or {})
 
     @property
     def name(self) -> str:
@@ -84,9 +111,14 @@
     @property
     def body_limit_bytes(self) -> int:
         """The largest body of a request or an answer."""
-        return self._body_limit_bytes
+        return self._limits.body_bytes
 
     @property
     def header_limit_bytes(self) -> int:
         """The largest head of a request or an answer."""
-        return self._header_limit_bytes
+        return self._limits.header_bytes
+
+    @property
+    def seeds(self) -> Mapping[str, str]:
+        """Peer addresses by name, used until a list of instances is known."""
+        return self._seeds
--- a/chervilstep/sync_messages.py
+++ b/chervilstep/sync_messages.py
@@ -51,6 +51,7 @@
         '_fingerprint',
         '_is_introduced',
         '_number',
+        '_platform_remaining',
         '_remaining',
         '_seen_revision',
         '_vouchers',
@@ -61,6 +62,7 @@
         'number',
         'fingerprint',
         'remaining',
+        'platform_remaining',
         'is_introduced',
         'seen_revision',
         'vouchers',
@@ -71,6 +73,7 @@
         number: int,
         fingerprint: bytes,
         remaining: float,
+        platform_remaining: float,
         is_introduced: bool,
         seen_revision: int,
         vouchers: Vouchers,
@@ -79,6 +82,9 @@
         self._number = checked(number, int)
         self._fingerprint = checked(fingerprint, bytes)
         self._remaining = float(checked(remaining, (int, float)))
+        self._platform_remaining = float(
+            checked(platform_remaining, (int, float))
+        )
         self._is_introduced = bool(is_introduced)
         self._seen_revision = checked(seen_revision, int)
         self._vouchers = checked_pairs(vouchers, (int, float))
@@ -98,6 +104,11 @@
         """For how many seconds the configuration counts as current."""
         return self._remaining
 
+    @property
+    def platform_remaining(self) -> float:
+        """For how many seconds somebody's read of the platform is recent."""
+        return self._platform_remaining
+
     @property
     def is_introduced(self) -> bool:
         """Whether the sender caught up with the fleet since its start."""
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -26,7 +26,7 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
-def a_settings(name='entry-1', zone='akl', source='file:unused.toml'):
+def a_settings(name='entry-1', zone='akl', source='file:unused.toml', seeds=()):
     return Settings(
         name=name,
         zone=zone,
@@ -34,6 +34,7 @@
         peer_address='127.0.0.1:0',
         admin_address='127.0.0.1:0',
         configuration_source=source,
+        seeds=dict(seeds),
         peer_secret='test-secret',
     )
 
--- a/tests/document_builders.py
+++ b/tests/document_builders.py
@@ -1,9 +1,14 @@
 """Builders of sections of the operators' document."""
 
+import math
+
 from chervilstep.commands.configuration import offer_sections
 from chervilstep.node import new_node
+from chervilstep.platform import PlatformAnswer, PlatformValue
 from chervilstep.queries.document import parse_section
+from chervilstep.types import Deadline
 from tests.builders import KEY, a_settings, digest_of
+from tests.wire_builders import an_instance
 
 ZONES = '[zones]\nakl = "in-service"\nham = "in-service"\n'
 
@@ -71,3 +76,22 @@
     ]
     offer_sections(node, offers, 0)
     return node
+
+
+def a_listed_node(*peers, revision=1):
+    """A node with sections and live peers that it has not met yet."""
+    node = a_configured_node(revision=revision)
+    names = ('entry-1', *peers)
+    node.members.replace(1, [an_instance(name) for name in names])
+    for name in peers:
+        node.members.view(name).hear(
+            Deadline(math.inf), is_ready=True, is_leaving=False, load=0
+        )
+    return node
+
+
+def a_platform_answer(revision, texts, *, is_complete=True):
+    values = [
+        PlatformValue(name, revision, text) for name, text in texts.items()
+    ]
+    return PlatformAnswer(revision, values, is_complete=is_complete)
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -8,6 +8,7 @@
 
 from chervilstep.adapters import codec
 from chervilstep.adapters.capabilities import load_capabilities
+from chervilstep.commands.listing import request_instances, take_seeds
 from chervilstep.commands.membership import ALIVE_SECONDS
 from chervilstep.commands.platform import take_instances, take_sections
 from chervilstep.commands.relaying import inquire
@@ -94,7 +95,8 @@
             self.sent_at = None
         elif not is_reachable:
             self.sent_at = None
-            self.next_at = now + self.rng.uniform(0.5, 2)
+            longest = 2 if duty is Duty.WATCH else 4
+            self.next_at = now + self.rng.uniform(longest / 2, longest)
         else:
             self.read(duty, now)
 
@@ -134,6 +136,10 @@
         self.cut_off = set()
         self.paused = set()
         self.mail = []
+        self.overlay: tuple[tuple[object, ...], dict[str, set[str]]] = (
+            (),
+            {},
+        )
         self.kept = {}
         self.listed: tuple[int, list[Instance]] = (1, [])
         self.order = itertools.count()
@@ -144,10 +150,13 @@
             self.start(announce=False)
         self.announce()
 
-    def start(self, announce=True):
+    def start(self, announce=True, seeds=None):
         name = f'entry-{next(self.names)}'
         seed = self.rng.random()
-        self.nodes[name] = new_node(a_settings(name), int(seed * 10**9))
+        self.nodes[name] = new_node(
+            a_settings(name, seeds=seeds or {}), int(seed * 10**9)
+        )
+        take_seeds(self.nodes[name])
         self.readers[name] = Reader(
             self.nodes[name], self.platform, self.rng, self.now
         )
@@ -207,18 +216,32 @@
             self.beat(name)
             flush_arrived(node, self.now)
         if (tick + self.phases[name]) % 8 == 0:
+            request_instances(node, self.now)
             inquire(node, self.now)
         self.post(name)
 
     def beat(self, name):
-        for peer in neighbours(self.nodes[name].members):
+        for peer in self.connected(name):
             if self.are_connected(name, peer) and peer not in self.paused:
-                node = self.nodes[peer]
-                if name in neighbours(node.members):
-                    alive_until = new_deadline(self.now, ALIVE_SECONDS)
-                    node.members.view(name).hear(
-                        alive_until, is_ready=True, is_leaving=False, load=0
-                    )
+                alive_until = new_deadline(self.now, ALIVE_SECONDS)
+                self.nodes[peer].members.view(name).hear(
+                    alive_until, is_leaving=False, load=0, is_ready=True
+                )
+
+    def connected(self, name):
+        """Whoever is a neighbour of the node, or has it as one."""
+        revisions = tuple(
+            (peer, node.members.revision) for peer, node in self.nodes.items()
+        )
+        if self.overlay[0] != revisions:
+            streams: dict[str, set[str]] = {peer: set() for peer in self.nodes}
+            for peer, node in self.nodes.items():
+                for other in neighbours(node.members):
+                    if other in streams:
+                        streams[peer].add(other)
+                        streams[other].add(peer)
+            self.overlay = revisions, streams
+        return sorted(self.overlay[1][name])
 
     def are_connected(self, name, peer):
         return peer in self.nodes and self.groups[name] == self.groups[peer]
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -65,9 +65,10 @@
     assert duties.count(Duty.RELY) == 19 - WATCHERS
 
 
+@pytest.mark.parametrize('seed', [1, 2, 3])
 @pytest.mark.parametrize('fault', ['killed', 'paused', 'cut off'])
-def test_change_with_every_watcher_gone(fault):
-    fleet = a_fleet(19)
+def test_change_with_every_watcher_gone(fault, seed):
+    fleet = a_fleet(19, seed)
     watchers = [
         name
         for name, node in fleet.nodes.items()
@@ -173,6 +174,14 @@
     fleet.run_until(lambda: works(fleet, name), 5)
 
 
+def test_new_instance_finds_peers_by_its_seeds():
+    fleet = a_fleet(7)
+    fleet.platform.is_down = True
+    name = fleet.start(announce=False, seeds={'entry-1': '127.0.0.1:2'})
+    fleet.run_until(lambda: works(fleet, name), 8)
+    assert len(fleet.nodes[name].members.listed) == 7
+
+
 def test_new_instance_does_not_serve_a_stale_replica():
     fleet = a_fleet(7)
     stale = fleet.platform.revision
