--- a/chervilstep/cli/serve.py
+++ b/chervilstep/cli/serve.py
@@ -16,11 +16,11 @@
 
     :param settings: path of the TOML file with the settings
     """
-    configure_logs()
     try:
         loaded = read_settings(settings)
     except SettingsError as fault:
         sys.stderr.write(f'{fault}\n')
         return 2
+    configure_logs()
     asyncio.run(serve_until_signalled(loaded))
     return 0
--- a/chervilstep/commands/attempting.py
+++ b/chervilstep/commands/attempting.py
@@ -1,9 +1,15 @@
 """Starts and ends attempts."""
 
-from chervilstep.calls import Attempt, Outcome, Ticket
-from chervilstep.hooks import ATTEMPT_ENDS, ATTEMPT_STARTS, CHARGES
+from chervilstep.calls import Attempt, Call, Outcome, Ticket
+from chervilstep.hooks import (
+    ATTEMPT_ENDS,
+    ATTEMPT_STARTS,
+    CHARGES,
+    REFUSED_CALLS,
+)
 from chervilstep.node import Node
 from chervilstep.progress import Progress
+from chervilstep.refusals import Refusal
 from chervilstep.types import Instant
 
 
@@ -13,6 +19,12 @@
         command(node, ticket, now)
 
 
+def refuse(node: Node, call: Call, refusal: Refusal, now: Instant) -> None:
+    """Tells of a call that was refused before it could run."""
+    for command in REFUSED_CALLS:
+        command(node, call, refusal, now)
+
+
 def start(node: Node, progress: Progress, attempt: Attempt) -> None:
     """Takes the slot of an attempt that is about to be sent."""
     progress.begin(attempt)
--- a/chervilstep/hooks.py
+++ b/chervilstep/hooks.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from typing import Final, Generic, TypeAlias, TypeVar, final
 
-from chervilstep.calls import Attempt, Outcome, Ticket
+from chervilstep.calls import Attempt, Call, Outcome, Ticket
 from chervilstep.messages import Message
 from chervilstep.node import Node
 from chervilstep.readings import Reading
@@ -23,26 +23,31 @@
 class Steps(Generic[Function]):
     """Functions that run one after another, in the order of their rank."""
 
-    __slots__ = ('_ranked',)
+    __slots__ = ('_functions', '_ranked')
 
     def __init__(self) -> None:
         """Starts without functions."""
         self._ranked: list[tuple[int, Function]] = []
+        self._functions: tuple[Function, ...] = ()
 
     def __iter__(self) -> Iterator[Function]:
         """Walks over the functions, the lowest rank first."""
-        return iter([function for _, function in self._ranked])
+        return iter(self._functions)
 
     def register(self, rank: int) -> Callable[[Function], Function]:
         """Returns a decorator that adds its target at ``rank``."""
 
         def decorate(target: Function) -> Function:
-            self._ranked.append((rank, target))
-            self._ranked.sort(key=_rank_of)
+            self._add(rank, target)
             return target
 
         return decorate
 
+    def _add(self, rank: int, function: Function) -> None:
+        self._ranked.append((rank, function))
+        self._ranked.sort(key=_rank_of)
+        self._functions = tuple(ranked[1] for ranked in self._ranked)
+
 
 @final
 class Tick:
@@ -74,6 +79,8 @@
 Check: TypeAlias = Callable[[Node, Ticket, Instant], Refusal | None]
 #: Commands that charge a ticket which every check let pass.
 Charge: TypeAlias = Callable[[Node, Ticket, Instant], None]
+#: Commands told of a call that was refused before it could run.
+OnRefusal: TypeAlias = Callable[[Node, Call, Refusal, Instant], None]
 #: Commands told of the start of an attempt.
 OnStart: TypeAlias = Callable[[Node, Attempt], None]
 #: Commands told of the end of an attempt.
@@ -91,6 +98,7 @@
 
 CHECKS: Final[Steps[Check]] = Steps()
 CHARGES: Final[Steps[Charge]] = Steps()
+REFUSED_CALLS: Final[Steps[OnRefusal]] = Steps()
 ATTEMPT_STARTS: Final[Steps[OnStart]] = Steps()
 ATTEMPT_ENDS: Final[Steps[OnEnd]] = Steps()
 #: Commands by the kind of the message that they take in.
--- a/lab/experiment.py
+++ b/lab/experiment.py
@@ -12,11 +12,17 @@
 from lab.arrivals import Record, new_record
 from lab.commands.scenarios import SCENARIOS
 from lab.deployment import Deployment
-from lab.documents import Limit, document, section_values
+from lab.documents import (
+    ROUTES,
+    Limit,
+    document,
+    section_values,
+    with_timeouts,
+)
 from lab.measures import Measures
 from lab.plans import Plan
 from lab.queries import measuring
-from lab.queries.demands import Turn, limits_of
+from lab.queries.demands import HEADROOM, TOGETHER, Turn, limits_of
 from lab.queries.measuring import TurnResult
 from lab.queries.resources import Usage, cpu_between, usage_of
 from lab.stage import Stage
@@ -27,6 +33,9 @@
 #: What a turn may take beyond its requests.
 TURN_GRACE_SECONDS: Final = 60
 COLD_SECONDS: Final = 4
+SHORTEST_CALL_SECONDS: Final = 2
+#: The deadline of a request in mean service times.
+CALL_MEANS: Final = 20
 #: How long everything gets to become usual again between turns.
 SETTLE_SECONDS: Final = COLD_SECONDS + 2
 
@@ -37,6 +46,7 @@
 
     __slots__ = (
         '_faults',
+        '_headroom',
         '_load',
         '_plan',
         '_policies',
@@ -57,6 +67,7 @@
         seconds: float,
         rounds: int,
         seed: int,
+        headroom: float = HEADROOM,
     ) -> None:
         """Creates a trial at ``load``, the part of all slots in use."""
         self._plan = plan
@@ -67,12 +78,18 @@
         self._seconds = seconds
         self._rounds = rounds
         self._seed = seed
+        self._headroom = headroom
 
     @property
     def plan(self) -> Plan:
         """What is deployed."""
         return self._plan
 
+    @property
+    def headroom(self) -> float:
+        """How far each rate lies above what its customer sends."""
+        return self._headroom
+
     @property
     def policies(self) -> tuple[str, ...]:
         """The policies that take turns."""
@@ -113,6 +130,11 @@
         """The mean service time that gives the load at the rate."""
         return self._load * self._plan.slots / self._rate
 
+    @property
+    def call_seconds(self) -> float:
+        """The deadline of each request, far beyond the usual tail."""
+        return max(SHORTEST_CALL_SECONDS, self.mean_seconds * CALL_MEANS)
+
 
 @final
 class Bench:
@@ -127,7 +149,7 @@
         self._trial = trial
         self._deployment = deployment
         self._folder = folder
-        self._limits = limits_of(trial.plan, trial.rate)
+        self._limits = limits_of(trial.plan, trial.rate, trial.headroom)
         self._results: dict[tuple[str, str], list[TurnResult]] = {}
 
     @property
@@ -180,7 +202,9 @@
         before = self._usage()
         calls = await self._deployment.platform_calls()
         counts = await self._deployment.upstream_counts()
-        await SCENARIOS.find(turn.fault)(stage)
+        await asyncio.gather(
+            *(SCENARIOS.find(fault)(stage) for fault in turn.faults)
+        )
         await stage.at(1)
         cost = cost_of(turn, before, self._usage())
         after = await self._deployment.upstream_counts()
@@ -216,10 +240,11 @@
                         'rate': turn.rate,
                         'seconds': turn.seconds,
                         'seed': turn.seed,
-                        'fault': turn.fault,
+                        'fault': TOGETHER.join(turn.faults),
                         'part': part,
                         'parts': GENERATORS,
                         'start_at': start_at,
+                        'call_seconds': self._trial.call_seconds,
                         'addresses': self._addresses(),
                     }
                 )
@@ -233,6 +258,7 @@
     async def _publish(self, policy: str) -> dict[str, str]:
         topology = self._deployment.topology
         texts = document(topology, self._limits, policy)
+        texts[ROUTES] = with_timeouts(texts[ROUTES], self._trial.call_seconds)
         await self._deployment.put(
             {
                 **section_values(texts),
