--- a/chervilstep/queries/revisions.py
+++ b/chervilstep/queries/revisions.py
@@ -76,12 +76,13 @@
 def missing_sections(
     configuration: Configuration, answer: PlatformAnswer
 ) -> tuple[str, ...]:
-    """Names the sections that a complete answer shows to be deleted."""
+    """Names the sections that a complete answer does not have.
+
+    Those newer than the answer are not deleted by it; the revision tells.
+    """
     present = {item.name for item in answer.values}
     return tuple(
         name
         for name, section in configuration.sections.items()
-        if section.text is not None
-        and name not in present
-        and section.revision <= answer.revision
+        if section.text is not None and name not in present
     )
