--- a/chervilstep/queries/revisions.py
+++ b/chervilstep/queries/revisions.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from chervilstep.configuration import Configuration, Section
-from chervilstep.fields import MAX_PAIRS
+from chervilstep.fields import MAX_ITEMS
 from chervilstep.platform import PlatformAnswer
 from chervilstep.sync_messages import Revisions, RevisionsPage
 
@@ -50,7 +50,7 @@
     )
     above = known[entries - 1][0] - 1 if len(known) > entries else 0
     page = [(name, revision) for revision, name in known if revision > above]
-    return RevisionsPage(below, above, tuple(page[:MAX_PAIRS]))
+    return RevisionsPage(below, above, tuple(page[:MAX_ITEMS]))
 
 
 def newer_than_page(
@@ -76,12 +76,13 @@
 def missing_sections(
     configuration: Configuration, answer: PlatformAnswer
 ) -> tuple[str, ...]:
-    """Names the sections that a complete answer shows to be deleted."""
+    """Names the sections that a complete answer does not have.
+
+    Those newer than the answer are not deleted by it; the revision tells.
+    """
     present = {item.name for item in answer.values}
     return tuple(
         name
         for name, section in configuration.sections.items()
-        if section.text is not None
-        and name not in present
-        and section.revision <= answer.revision
+        if section.text is not None and name not in present
     )
