--- a/chervilstep/adapters/dispatcher.py
+++ b/chervilstep/adapters/dispatcher.py
@@ -53,11 +53,10 @@
 
     async def handle(self, call: Call) -> Reply:
         """Returns the answer to a call, or why there is none."""
-        now = self._clock()
-        ticket = admission.admit(self._node, call, now)
-        if isinstance(ticket, Refusal):
-            return ticket
-        return await self.run(ticket)
+        reply = await self._answer(call)
+        if isinstance(reply, Refusal):
+            attempts.count_refusal(self._node, reply)
+        return reply
 
     async def run(self, ticket: Ticket) -> Reply:
         """Charges and answers an admitted call, or says why it cannot."""
@@ -78,6 +77,12 @@
         if wake_at is not None:
             self._wake_by(wake_at)
 
+    async def _answer(self, call: Call) -> Reply:
+        ticket = admission.admit(self._node, call, self._clock())
+        if isinstance(ticket, Refusal):
+            return ticket
+        return await self.run(ticket)
+
     async def _run(self, progress: Progress) -> Reply:
         reply: Reply | None = None
         while reply is None:
@@ -92,7 +97,7 @@
         now = self._clock()
         reply = retrying.reply_after(self._node, progress, outcome, now)
         if reply is None:
-            budget.spend(self._node, now)
+            budget.spend(self._node, now, 'retry')
         return reply
 
     async def _acquire(self, progress: Progress) -> Attempt | Refusal:
@@ -159,8 +164,7 @@
         upstream = hedging.hedge_upstream(self._node, progress, now)
         if upstream is None:
             return None
-        budget.spend(self._node, now)
-        self._node.counters.add('hedges')
+        budget.spend(self._node, now, 'hedge')
         return self._send(progress, self._start(progress, upstream, now))
 
     async def _send(self, progress: Progress, attempt: Attempt) -> Outcome:
--- a/chervilstep/commands/attempting.py
+++ b/chervilstep/commands/attempting.py
@@ -4,6 +4,7 @@
 from chervilstep.hooks import ATTEMPT_ENDS, ATTEMPT_STARTS, CHARGES
 from chervilstep.node import Node
 from chervilstep.progress import Progress
+from chervilstep.refusals import Refusal
 from chervilstep.types import Instant
 
 
@@ -27,3 +28,8 @@
     progress.end(outcome)
     for command in ATTEMPT_ENDS:
         command(node, attempt, outcome)
+
+
+def count_refusal(node: Node, refusal: Refusal) -> None:
+    """Counts a call that was not answered by an upstream."""
+    node.counters.add('refusals', reason=refusal.reason)
--- a/chervilstep/commands/budget.py
+++ b/chervilstep/commands/budget.py
@@ -14,6 +14,7 @@
     node.retries.count(balance(node, now) + TOKENS_PER_CALL, now)
 
 
-def spend(node: Node, now: Instant) -> None:
-    """Pays for one retry or hedge."""
+def spend(node: Node, now: Instant, purpose: str) -> None:
+    """Pays for one more attempt; ``purpose`` is ``retry`` or ``hedge``."""
+    node.counters.add('extra_attempts', purpose=purpose)
     node.retries.count(balance(node, now) - 1, now)
--- /dev/null
+++ b/tests/test_hedging.py
@@ -0,0 +1,172 @@
+"""Tests of hedged attempts."""
+
+import asyncio
+
+import pytest
+
+from chervilstep.calls import Answer, Ending
+from chervilstep.commands.budget import spend
+from chervilstep.queries.budget import can_afford_hedge
+from chervilstep.tails import MIN_ANSWERS, Tail
+from lab.virtual_loop import run_virtually
+from tests.builders import a_call
+from tests.dispatch_builders import (
+    FakePool,
+    HeldPool,
+    Step,
+    a_dispatcher,
+    a_slotted_node,
+)
+
+TAIL_SECONDS = 0.05
+
+
+def a_hedging_node(**changes):
+    """A node that hedges after ``TAIL_SECONDS``."""
+    node = a_slotted_node(**{'upstreams': 3, **changes})
+    for _ in range(MIN_ANSWERS):
+        node.tails.note('strike', TAIL_SECONDS)
+    return node
+
+
+def tail_of(node):
+    return node.tails.by_service['strike'].seconds
+
+
+def handle(node, steps, call=None):
+    async def run(loop):
+        pool = FakePool(loop, steps)
+        reply = await a_dispatcher(loop, pool, node).handle(call or a_call())
+        elapsed = loop.time()
+        # Whoever lost is cancelled by now, and its slot is free again.
+        await asyncio.sleep(0)
+        assert not sum(load.in_flight for load in node.board.loads.values())
+        return reply, elapsed, pool
+
+    return run_virtually(run)
+
+
+def test_hedge_answers_for_a_slow_upstream():
+    node = a_hedging_node()
+    tail = tail_of(node)
+    steps = [Step(seconds=0.9), Step(seconds=0.01)]
+    reply, elapsed, pool = handle(node, steps)
+    assert reply.body == b'strike-2'
+    assert elapsed == pytest.approx(tail + 0.01)
+    assert pool.cancelled == [pool.sent[0]]
+
+
+def test_first_attempt_may_still_win():
+    steps = [Step(seconds=0.06), Step(seconds=0.9)]
+    reply, elapsed, pool = handle(a_hedging_node(), steps)
+    assert reply.body == b'strike-1'
+    assert elapsed == pytest.approx(0.06)
+    assert pool.cancelled == [pool.sent[1]]
+
+
+def test_quick_answer_needs_no_hedge():
+    _, _, pool = handle(a_hedging_node(), [Step(seconds=0.04)])
+    assert len(pool.sent) == 1
+
+
+@pytest.mark.parametrize('call', [a_call('POST'), a_call(attempt=2)])
+def test_calls_that_must_not_be_repeated_are_not_hedged(call):
+    _, _, pool = handle(a_hedging_node(), [Step(seconds=0.9)], call)
+    assert len(pool.sent) == 1
+
+
+def test_hedge_that_fails_leaves_the_first_attempt_alone():
+    steps = [Step(seconds=0.2), Step(Ending.LOST)]
+    reply, elapsed, pool = handle(a_hedging_node(), steps)
+    assert reply.body == b'strike-1'
+    assert elapsed == pytest.approx(0.2)
+
+
+def test_hedge_takes_over_when_the_first_attempt_fails():
+    node = a_hedging_node()
+    tail = tail_of(node)
+    steps = [Step(Ending.LOST, seconds=0.06), Step(seconds=0.1)]
+    reply, elapsed, pool = handle(node, steps)
+    assert reply.body == b'strike-2'
+    assert elapsed == pytest.approx(tail + 0.1)
+
+
+def test_hedge_and_retry_are_attempts_of_one_budget():
+    steps = [Step(Ending.LOST, seconds=0.06), Step(Ending.SHED), Step()]
+    reply, _, pool = handle(a_hedging_node(), steps)
+    assert isinstance(reply, Answer)
+    assert len({attempt.upstream.name for attempt in pool.sent}) == 3
+
+
+def test_no_hedge_without_a_free_slot():
+    node = a_hedging_node(upstreams=2)
+    node.board.load('strike-2').start()
+    _, _, pool = handle_busy(node)
+    assert len(pool.sent) == 1
+
+
+def handle_busy(node):
+    async def run(loop):
+        pool = FakePool(loop, [Step(seconds=0.9)])
+        reply = await a_dispatcher(loop, pool, node).handle(a_call())
+        return reply, loop.time(), pool
+
+    return run_virtually(run)
+
+
+def test_hedges_leave_half_of_the_budget_to_retries():
+    node = a_hedging_node()
+    while can_afford_hedge(node, 0):
+        spend(node, 0, 'retry')
+    _, _, pool = handle(node, [Step(seconds=0.9)])
+    assert len(pool.sent) == 1
+    assert pool.steps == []
+
+
+def test_caller_that_leaves_cancels_both_attempts():
+    node = a_hedging_node()
+
+    async def run(loop):
+        pool = HeldPool(loop)
+        dispatcher = a_dispatcher(loop, pool, node)
+        task = asyncio.ensure_future(dispatcher.handle(a_call()))
+        await asyncio.sleep(2 * TAIL_SECONDS)
+        assert len(pool.held) == 2
+        task.cancel()
+        await asyncio.sleep(0.001)
+        return pool, task
+
+    pool, task = run_virtually(run)
+    assert task.cancelled()
+    assert not pool.held
+
+
+def test_caller_that_leaves_as_the_hedge_wins_is_cancelled():
+    node = a_hedging_node()
+
+    async def run(loop):
+        pool = HeldPool(loop)
+        dispatcher = a_dispatcher(loop, pool, node)
+        task = asyncio.ensure_future(dispatcher.handle(a_call()))
+        await asyncio.sleep(2 * TAIL_SECONDS)
+        pool.finish(pool.held[1], Ending.ANSWERED, ran=True)
+        await asyncio.sleep(0)
+        task.cancel()
+        await asyncio.wait([task])
+        await asyncio.sleep(0.001)
+        return pool, task
+
+    pool, task = run_virtually(run)
+    assert task.cancelled() or isinstance(task.result(), Answer)
+    assert not pool.held
+
+
+def test_tail_follows_the_latencies():
+    tail = Tail()
+    for index in range(20 * MIN_ANSWERS):
+        tail.note(0.1 if index % 10 else 0.3)
+    assert tail.seconds == pytest.approx(0.3, rel=0.2)
+    assert tail.mean == pytest.approx(0.12, rel=0.2)
+    for index in range(20 * MIN_ANSWERS):
+        tail.note(0.01 if index % 10 else 0.03)
+    assert tail.seconds == pytest.approx(0.03, rel=0.2)
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -85,7 +85,7 @@
         now = index * 0.01
         earn(node, a_ticket(), now)
         while can_afford(node, now):
-            spend(node, now)
+            spend(node, now, 'retry')
             spent += 1
     bound = TOKENS_PER_CALL * calls
     bound += (FLEET_TOKENS + FLEET_TOKENS_PER_SECOND) / INSTANCES
@@ -101,7 +101,7 @@
 def test_clock_that_stands_still_adds_nothing():
     node = a_fleet_node()
     for _ in range(4):
-        spend(node, 10)
+        spend(node, 10, 'retry')
     assert balance(node, 10) == pytest.approx(0)
     assert balance(node, 9) == pytest.approx(0)
 
