Give an attempt at a slow service no less than most calls need

Cause: half of the remaining time cut off calls of slow services, which then ran again and were cut off again. Change: an attempt that may be retried gets at least one and a half times the tail of its service, within its deadline. Ruled out: all of the time for each attempt, since a silence would then leave nothing for the retry. Conclusion: the test of the attempt deadlines covers both.

--- a/chervilstep/adapters/dispatcher.py
+++ b/chervilstep/adapters/dispatcher.py
@@ -116,7 +116,7 @@
     def _start(
         self, progress: Progress, upstream: Upstream, now: Instant
     ) -> Attempt:
-        attempt = new_attempt(progress, upstream, now)
+        attempt = new_attempt(self._node, progress, upstream, now)
         attempts.start(self._node, progress, attempt)
         return attempt
 
--- a/chervilstep/queries/attempting.py
+++ b/chervilstep/queries/attempting.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from chervilstep.calls import Attempt
+from chervilstep.node import Node
 from chervilstep.progress import Progress
 from chervilstep.queries.retrying import MAX_ATTEMPTS, is_nested
 from chervilstep.snapshot import Upstream
@@ -11,9 +12,12 @@
 #: The part of the remaining time that an attempt gets when it may be retried.
 ATTEMPT_SHARE: Final = 0.5
 
+#: An attempt gets at least this multiple of the tail of its service.
+TAIL_MULTIPLE: Final = 1.5
+
 
 def new_attempt(
-    progress: Progress, upstream: Upstream, now: Instant
+    node: Node, progress: Progress, upstream: Upstream, now: Instant
 ) -> Attempt:
     """Creates the next attempt of a call at ``upstream``.
 
@@ -25,21 +29,26 @@
         upstream,
         progress.ticket.call.attempt + progress.attempts,
         now,
-        attempt_deadline(progress, now),
+        attempt_deadline(node, progress, now),
     )
 
 
-def attempt_deadline(progress: Progress, now: Instant) -> Deadline:
+def attempt_deadline(node: Node, progress: Progress, now: Instant) -> Deadline:
     """Returns when the next attempt is given up.
 
     An attempt that could be followed by another one after a silence gets
-    half of the time that remains. One that is the last, or whose call must
+    half of the time that remains, and no less than most calls of a slow
+    service need. One that is the last, or whose call must
     not run twice, gets all of it: giving up earlier could not help it.
     """
     deadline = progress.ticket.deadline
     if not has_successor(progress):
         return deadline
-    return new_deadline(now, deadline.remaining(now) * ATTEMPT_SHARE)
+    seconds = deadline.remaining(now) * ATTEMPT_SHARE
+    tail = node.tails.by_service.get(progress.ticket.route.service)
+    if tail is not None and tail.seconds is not None:
+        seconds = max(seconds, tail.seconds * TAIL_MULTIPLE)
+    return new_deadline(now, seconds).earlier(deadline)
 
 
 def has_successor(progress: Progress) -> bool:
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -14,6 +14,7 @@
     FLEET_TOKENS_PER_SECOND,
     TOKENS_PER_CALL,
 )
+from chervilstep.tails import MIN_ANSWERS
 from lab.virtual_loop import run_virtually
 from tests.builders import a_call, a_stocked_node, a_ticket, an_upstream
 from tests.dispatch_builders import (
@@ -58,23 +59,28 @@
     )
     assert not may_retry(progress, progress.last, 0)
     # The layer below the next one is told as well.
-    attempt = new_attempt(
-        a_progress(a_ticket(a_call(attempt=2))), an_upstream(), 0
-    )
+    progress = a_progress(a_ticket(a_call(attempt=2)))
+    attempt = new_attempt(a_stocked_node(), progress, an_upstream(), 0)
     assert attempt.number == 2
 
 
 def test_silent_attempts_leave_room_for_a_retry_only_if_one_may_follow():
+    node = a_stocked_node()
+
     def seconds(method, attempts=0, **changes):
         progress = a_progress(a_ticket(a_call(method, **changes)))
         for _ in range(attempts):
-            progress.begin(new_attempt(progress, an_upstream(), 0))
-        return new_attempt(progress, an_upstream(), 0).deadline.at
+            progress.begin(new_attempt(node, progress, an_upstream(), 0))
+        return new_attempt(node, progress, an_upstream(), 0).deadline.at
 
     assert seconds('GET') == pytest.approx(1)
     assert seconds('GET', attempts=2) == pytest.approx(2)
     assert seconds('GET', attempt=2) == pytest.approx(2)
     assert seconds('POST') == pytest.approx(2)
+    # Most calls of a slow service would not end in half of the time.
+    for _ in range(MIN_ANSWERS):
+        node.tails.note('strike', 1)
+    assert 1.5 <= seconds('GET') <= 2
 
 
 def test_budget_of_the_fleet_is_bounded():
