Judge a line by its own pace; let urgent calls displace their own bulk

Change: the expected wait follows the pace of the customer's own line, and the wait and the run of most calls have to fit into the time that is left; a full queue gives up a waiter of a lower class of the same customer.

Ruled out: letting urgent calls displace others' bulk, which would let a noisy customer push everybody out.

--- a/chervilstep/queries/queueing.py
+++ b/chervilstep/queries/queueing.py
@@ -55,9 +55,9 @@
     queue = node.waiting.queue(ticket.route.service)
     if is_full(node, queue, progress):
         return QUEUE_FULL
-    needed = expected_run(node, ticket.route.service)
-    needed += expected_wait(queue, progress, now)
-    if needed > ticket.deadline.remaining(now):
+    wait = expected_wait(queue, progress, now)
+    needed = wait + sure_run(node, ticket.route.service)
+    if wait and needed > ticket.deadline.remaining(now):
         return QUEUE_TOO_LONG
     return None
 
@@ -70,18 +70,19 @@
 def evictee(node: Node, progress: Progress) -> Waiter | None:
     """Returns the waiter that makes room for a call in a full queue.
 
-    It is the last one of the customer that holds the most of the queue,
-    unless that is the customer of the call itself.
+    It is the last one of the customer that holds the most of the queue. If
+    that is the customer of the call itself, only a waiter of a lower class
+    has to go for it.
     """
     queue = node.waiting.queue(progress.ticket.route.service)
     if not is_full(node, queue, progress):
         return None
     held = _held_by_customer(node, queue, progress)
-    heaviest, most = held.most_common(1)[0] if held else ('', 0)
-    if most <= held[progress.ticket.customer_name] + 1:
-        return None
-    lines = [lane.lines.get(heaviest) for lane in queue.lanes.values()]
-    return next(line[-1] for line in reversed(lines) if line)
+    own = progress.ticket.customer_name
+    heaviest, most = held.most_common(1)[0] if held else (own, 0)
+    if most > held[own] + 1:
+        return _last_of(queue, heaviest, Priority.URGENT)
+    return _last_of(queue, own, progress.ticket.route.priority + 1)
 
 
 def expected_wait(
@@ -89,11 +90,21 @@
 ) -> float:
     """Estimates the seconds until a new waiter would be granted.
 
-    Zero while nothing is known of the pace, and for retries, which go first.
-    A queue that has stopped looks slower the longer it stands still.
+    The pace of its own line tells best, since calls of others that come
+    later may go first; a line without a pace is estimated by the pace of the
+    queue. Zero while nothing is known, and for retries, which go first. What
+    has stopped looks slower the longer it stands still.
     """
+    if progress.tried:
+        return 0
+    ticket = progress.ticket
+    lane = queue.lanes[ticket.route.priority]
+    own_pace = lane.paces.get(ticket.customer_name)
+    own = own_pace.interval(now) if own_pace else None
+    if own is not None:
+        return own * (len(lane.lines[ticket.customer_name]) + 1)
     interval = queue.pace.interval(now)
-    if interval is None or progress.tried:
+    if interval is None:
         return 0
     return interval * turns_ahead(queue, progress)
 
@@ -105,9 +116,13 @@
     in vain, in a slot that others wait for, and end in doubt.
     """
     tail = node.tails.by_service.get(service)
-    if tail is None or tail.mean is None:
-        return 0
-    return tail.mean
+    return (tail.mean or 0) if tail else 0
+
+
+def sure_run(node: Node, service: str) -> float:
+    """The seconds within which most calls of ``service`` have run."""
+    tail = node.tails.by_service.get(service)
+    return (tail.seconds or 0) if tail else 0
 
 
 def turns_ahead(queue: ServiceQueue, progress: Progress) -> float:
@@ -185,6 +200,15 @@
     )
 
 
+def _last_of(queue: ServiceQueue, customer: str, highest: int) -> Waiter | None:
+    """The last waiter of a customer in its lowest class, if low enough."""
+    for priority in reversed(Priority):
+        line = queue.lanes[priority].lines.get(customer)
+        if line and priority >= highest:
+            return line[-1]
+    return None
+
+
 def _held_by_customer(
     node: Node, queue: ServiceQueue, progress: Progress
 ) -> Counter[str]:
--- a/chervilstep/waiting.py
+++ b/chervilstep/waiting.py
@@ -172,11 +172,12 @@
 class Lane:
     """The waiters of one class, a line for each customer."""
 
-    __slots__ = ('_lines', '_size', '_turns')
+    __slots__ = ('_lines', '_paces', '_size', '_turns')
 
     def __init__(self) -> None:
         """Starts empty."""
         self._lines: dict[str, deque[Waiter]] = {}
+        self._paces: dict[str, Pace] = {}
         self._turns = VirtualTime()
         self._size = 0
 
@@ -189,6 +190,11 @@
         """The waiters by customer; no line is empty."""
         return self._lines
 
+    @property
+    def paces(self) -> Mapping[str, Pace]:
+        """How fast each line moves, by customer."""
+        return self._paces
+
     @property
     def turns(self) -> VirtualTime:
         """The turns of the customers."""
@@ -196,7 +202,9 @@
 
     def add(self, waiter: Waiter) -> None:
         """Adds a waiter; one that was tried before goes first."""
-        line = self._lines.setdefault(waiter.customer, deque())
+        if waiter.customer not in self._lines:
+            self._open(waiter)
+        line = self._lines[waiter.customer]
         if waiter.is_retry:
             line.appendleft(waiter)
         else:
@@ -210,6 +218,20 @@
         self._size -= 1
         if not line:
             self._lines.pop(waiter.customer)
+            self._paces.pop(waiter.customer)
+
+    def grant(self, waiter: Waiter, now: Instant) -> None:
+        """Takes out a waiter that got its turn, and charges the turn."""
+        self._paces[waiter.customer].note(now)
+        self.remove(waiter)
+        if not waiter.is_retry:
+            self._turns.charge(waiter.customer, 1)
+
+    def _open(self, waiter: Waiter) -> None:
+        pace = Pace()
+        pace.restart(waiter.since)
+        self._paces[waiter.customer] = pace
+        self._lines[waiter.customer] = deque()
 
 
 @final
@@ -272,12 +294,13 @@
 
     def grant(self, waiter: Waiter, now: Instant) -> None:
         """Takes out a waiter that got its turn, and charges the turn."""
-        self.remove(waiter)
         self._pace.note(now)
+        self._lanes[waiter.priority].grant(waiter, now)
+        self._size -= 1
+        self._retries -= waiter.is_retry
         if not waiter.is_retry:
             priority = waiter.priority
             self._turns.charge(priority.name, TURN_COSTS[priority])
-            self._lanes[priority].turns.charge(waiter.customer, 1)
 
 
 @final
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -130,6 +130,31 @@
     assert queueing.objection(node, noisy, 0) is refusals.QUEUE_FULL
 
 
+def test_urgent_call_takes_the_place_of_its_customers_bulk(monkeypatch):
+    node = a_slotted_node()
+    monkeypatch.setattr(queueing, 'MAX_WAITERS', 2)
+    bulk = wait(node, priority=Priority.BULK)
+    wait(node, priority=Priority.URGENT)
+    urgent = a_timed_ticket(route=a_route(priority=Priority.URGENT))
+    assert queueing.evictee(node, a_progress(urgent)) is bulk
+    same = a_timed_ticket(route=a_route(priority=Priority.BULK))
+    assert queueing.evictee(node, a_progress(same)) is None
+
+
+def test_line_is_judged_by_its_own_pace():
+    node = a_slotted_node()
+    for _ in range(30):
+        wait(node, 'noisy', seconds=60)
+    # Quiet calls that come later go first: one turn in four is noisy.
+    for index in range(40):
+        for name in ('quiet-1', 'quiet-2', 'quiet-3'):
+            wait(node, name, now=index * 0.04, seconds=60)
+        serve(node, 4, now=(index + 1) * 0.04)
+        wait(node, 'noisy', now=(index + 1) * 0.04, seconds=60)
+    assert objection(node, 'noisy', 1, 1.6) is refusals.QUEUE_TOO_LONG
+    assert objection(node, 'noisy', 1.5, 1.6) is None
+
+
 def test_large_bodies_count_for_more(monkeypatch):
     node = a_slotted_node()
     monkeypatch.setattr(queueing, 'MAX_BODY_BYTES', 300_000)
