--- a/chervilstep/commands/lending.py
+++ b/chervilstep/commands/lending.py
@@ -26,9 +26,12 @@
     borrower = Holder(sender, message.incarnation)
     seconds = float(LEASE_SECONDS)
     terms: dict[str, tuple[int, ...]] = {}
-    for customer in message.needs:
-        if not _is_news(node, customer, borrower, message.sequence):
-            continue
+    news = [
+        customer
+        for customer in message.needs
+        if _is_news(node, customer, borrower, message.sequence)
+    ]
+    for customer in news:
         capital = queries.capital_of(node, customer, now)
         if capital is None:
             continue
