--- a/chervilstep/hooks.py
+++ b/chervilstep/hooks.py
@@ -4,12 +4,13 @@
 of them and knows none by name.
 """
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Final, Generic, TypeAlias, TypeVar, final
 
 from chervilstep.calls import Attempt, Call, Outcome, Ticket
 from chervilstep.messages import Message
 from chervilstep.node import Node
+from chervilstep.readings import Reading
 from chervilstep.refusals import Refusal
 from chervilstep.registry import Registry, new_registry
 from chervilstep.snapshot import Service, Upstream
@@ -22,26 +23,31 @@
 class Steps(Generic[Function]):
     """Functions that run one after another, in the order of their rank."""
 
-    __slots__ = ('_ranked',)
+    __slots__ = ('_functions', '_ranked')
 
     def __init__(self) -> None:
         """Starts without functions."""
         self._ranked: list[tuple[int, Function]] = []
+        self._functions: tuple[Function, ...] = ()
 
     def __iter__(self) -> Iterator[Function]:
         """Walks over the functions, the lowest rank first."""
-        return iter([function for _, function in self._ranked])
+        return iter(self._functions)
 
     def register(self, rank: int) -> Callable[[Function], Function]:
         """Returns a decorator that adds its target at ``rank``."""
 
         def decorate(target: Function) -> Function:
-            self._ranked.append((rank, target))
-            self._ranked.sort(key=_rank_of)
+            self._add(rank, target)
             return target
 
         return decorate
 
+    def _add(self, rank: int, function: Function) -> None:
+        self._ranked.append((rank, function))
+        self._ranked.sort(key=_rank_of)
+        self._functions = tuple(ranked[1] for ranked in self._ranked)
+
 
 @final
 class Tick:
@@ -87,6 +93,8 @@
 ]
 #: Queries that describe a part of the state for operators, as JSON values.
 Describe: TypeAlias = Callable[[Node, Instant], object]
+#: Queries that read the levels of one gauge.
+Gauge: TypeAlias = Callable[[Node, Instant], Iterable[Reading]]
 
 CHECKS: Final[Steps[Check]] = Steps()
 CHARGES: Final[Steps[Charge]] = Steps()
@@ -103,6 +111,8 @@
 FAREWELLS: Final[Steps[Periodic]] = Steps()
 #: The parts of the status page by name.
 STATUS_PARTS: Final[Registry[Describe]] = new_registry('status part')
+#: The gauges among the metrics by name.
+GAUGES: Final[Registry[Gauge]] = new_registry('gauge')
 POLICIES: Final[Registry[Policy]] = new_registry('policy')
 
 
--- a/chervilstep/node.py
+++ b/chervilstep/node.py
@@ -4,20 +4,25 @@
 from typing import Final, final
 
 from chervilstep.board import Board
+from chervilstep.burn import BurnLedger
 from chervilstep.configuration import Configuration
 from chervilstep.counters import Counters
+from chervilstep.latencies import Latencies
 from chervilstep.leases import Holder
 from chervilstep.members import Members
 from chervilstep.messages import Outbox
 from chervilstep.paths import Paths
+from chervilstep.probes import ProbePlan
 from chervilstep.quarantine import Quarantine
 from chervilstep.relay import Relay
 from chervilstep.retries import RetryBudget
 from chervilstep.settings import Settings
 from chervilstep.shares import Shares
 from chervilstep.snapshot import Snapshot
+from chervilstep.tails import Tails
 from chervilstep.voting import Leases
 from chervilstep.waiting import Waiting
+from chervilstep.warmth import WarmthTable
 
 #: Enough that no two processes of one name draw the same incarnation.
 INCARNATION_BITS: Final = 32
@@ -33,19 +38,24 @@
 
     __slots__ = (
         '_board',
+        '_burn',
         '_configuration',
         '_counters',
+        '_latencies',
         '_leases',
         '_members',
         '_outbox',
         '_relay',
         '_paths',
+        '_probes',
         '_quarantine',
         '_retries',
         '_rng',
         '_settings',
         '_shares',
+        '_tails',
         '_waiting',
+        '_warmth',
     )
 
     def __init__(self, settings: Settings, rng: random.Random) -> None:
@@ -55,13 +65,18 @@
         self._configuration = Configuration()
         self._members = Members(settings.name)
         self._board = Board()
+        self._warmth = WarmthTable()
+        self._probes = ProbePlan()
         self._counters = Counters()
+        self._burn = BurnLedger()
+        self._latencies = Latencies()
         self._outbox = Outbox()
         incarnation = rng.getrandbits(INCARNATION_BITS)
         self._shares = Shares(incarnation)
         self._leases = Leases(Holder(settings.name, incarnation))
         self._relay = Relay()
         self._waiting = Waiting()
+        self._tails = Tails()
         self._quarantine = Quarantine()
         self._paths = Paths()
         self._retries = RetryBudget()
@@ -96,11 +111,31 @@
         """The load of the upstreams."""
         return self._board
 
+    @property
+    def warmth(self) -> WarmthTable:
+        """How much work each upstream may get."""
+        return self._warmth
+
+    @property
+    def probes(self) -> ProbePlan:
+        """The upstreams that this instance probes."""
+        return self._probes
+
     @property
     def counters(self) -> Counters:
         """Counts of what happened."""
         return self._counters
 
+    @property
+    def burn(self) -> BurnLedger:
+        """Counts of good and bad events for the service levels."""
+        return self._burn
+
+    @property
+    def latencies(self) -> Latencies:
+        """How long answers take."""
+        return self._latencies
+
     @property
     def outbox(self) -> Outbox:
         """Messages for peers that were not sent yet."""
@@ -136,6 +171,11 @@
         """The customers' tokens that this instance may spend."""
         return self._shares
 
+    @property
+    def tails(self) -> Tails:
+        """The tails of the services' latencies."""
+        return self._tails
+
     @property
     def waiting(self) -> Waiting:
         """The calls that wait for an upstream."""
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -26,14 +26,15 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
-def a_settings(name='entry-1', zone='akl'):
+def a_settings(name='entry-1', zone='akl', source='file:unused.toml', seeds=()):
     return Settings(
         name=name,
         zone=zone,
         entry_address='127.0.0.1:0',
         peer_address='127.0.0.1:0',
         admin_address='127.0.0.1:0',
-        configuration_source='file:unused.toml',
+        configuration_source=source,
+        seeds=dict(seeds),
         peer_secret='test-secret',
     )
 
@@ -98,14 +99,21 @@
     )
 
 
-def a_call(method='GET', target='/strike/1', key=KEY, body=b'', attempt=1):
+def a_call(
+    method='GET',
+    target='/strike/1',
+    key=KEY,
+    body=b'',
+    attempt=1,
+    deadline=None,
+):
     return Call(
         method,
         target,
         (),
         body,
         key_digest=digest_of(key) if key else None,
-        deadline=None,
+        deadline=deadline,
         attempt=attempt,
     )
 
