--- a/chervilstep/node.py
+++ b/chervilstep/node.py
@@ -24,8 +24,8 @@
 from chervilstep.waiting import Waiting
 from chervilstep.warmth import WarmthTable
 
-#: Enough that no two processes draw the same incarnation.
-INCARNATION_BITS: Final = 52
+#: Enough that no two processes of one name draw the same incarnation.
+INCARNATION_BITS: Final = 32
 
 
 @final
