--- a/chervilstep/queries/composition.py
+++ b/chervilstep/queries/composition.py
@@ -6,7 +6,8 @@
 with two different definitions belongs to neither section.
 """
 
-from collections.abc import Callable, Iterable, Iterator, Mapping
+import collections
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from typing import TypeAlias, TypeVar, final
 
 from chervilstep.content import SectionContent
@@ -24,7 +25,7 @@
 
 Definition = TypeVar('Definition')
 #: The definitions of one kind in each section, by section and name.
-Definitions: TypeAlias = Iterable[tuple[str, Mapping[str, Definition]]]
+Definitions: TypeAlias = Sequence[tuple[str, Mapping[str, Definition]]]
 
 
 @final
@@ -100,24 +101,25 @@
     added there first and then taken out of the old section.
     """
     united: dict[str, Definition] = {}
-    owners: dict[str, list[str]] = {}
-    contradicted: set[str] = set()
-    for section, named in definitions:
+    others: dict[str, list[Definition]] = {}
+    for _, named in definitions:
         for name, definition in named.items():
-            owners.setdefault(name, []).append(section)
-            known = united.setdefault(name, definition)
-            if identity(known) != identity(definition):
-                contradicted.add(name)
-    for name in contradicted:
-        united.pop(name)
-        sections = ', '.join(owners[name])
-        conflicts.append(
-            f'{kind} {name!r} is out of force: sections {sections}'
-            ' define it differently'
-        )
+            if united.setdefault(name, definition) is not definition:
+                others.setdefault(name, []).append(definition)
+    for repeated, found in others.items():
+        if len({identity(united[repeated]), *map(identity, found)}) > 1:
+            united.pop(repeated)
+            conflicts.append(
+                f'{kind} {repeated!r} is out of force: sections'
+                f' {_definers(definitions, repeated)} define it differently'
+            )
     return united
 
 
+def _definers(definitions: Definitions[Definition], name: str) -> str:
+    return ', '.join(section for section, named in definitions if name in named)
+
+
 def _unite_routes(
     definitions: Definitions[Route], conflicts: list[str]
 ) -> list[Route]:
@@ -201,7 +203,7 @@
 
 def _unknown_policies(services: Iterable[Service]) -> Iterator[str]:
     for service in services:
-        if service.policy not in POLICIES.names:
+        if service.policy not in POLICIES:
             hint = suggestion(service.policy, POLICIES.names)
             yield (
                 f'service {service.name!r}: unknown policy {service.policy!r}'
@@ -220,22 +222,26 @@
 def _without_shared_upstreams(
     services: list[Service], conflicts: list[str]
 ) -> list[Service]:
-    owners: dict[str, set[str]] = {}
-    for owner in services:
-        for upstream in owner.upstreams:
-            owners.setdefault(upstream.name, set()).add(owner.name)
-    shared = {name for name, users in owners.items() if len(users) > 1}
+    shared = _repeated(
+        upstream.name for service in services for upstream in service.upstreams
+    )
     for name in shared:
-        joined = ', '.join(sorted(owners[name]))
+        users = ', '.join(
+            service.name
+            for service in services
+            if any(upstream.name == name for upstream in service.upstreams)
+        )
         conflicts.append(
-            f'upstream {name!r} is out of force: services {joined} define it'
+            f'upstream {name!r} is out of force: services {users} define it'
         )
-    return [_keep_upstreams(service, shared) for service in services]
+    return [_sound_service(service, shared) for service in services]
 
 
-def _keep_upstreams(service: Service, shared: set[str]) -> Service:
+def _sound_service(service: Service, shared: set[str]) -> Service:
+    is_known = service.policy in POLICIES
+    if is_known and shared.isdisjoint(map(_name_of, service.upstreams)):
+        return service
     kept = [item for item in service.upstreams if item.name not in shared]
-    is_known = service.policy in POLICIES.names
     policy = service.policy if is_known else DEFAULT_POLICY
     return Service(service.name, kept, policy)
 
@@ -243,22 +249,35 @@
 def _without_shared_digests(
     customers: list[Customer], conflicts: list[str]
 ) -> list[Customer]:
-    owners: dict[str, set[str]] = {}
-    for owner in customers:
-        for digest in owner.digests:
-            owners.setdefault(digest, set()).add(owner.name)
-    shared = {key for key, users in owners.items() if len(users) > 1}
+    shared = _repeated(
+        digest for customer in customers for digest in customer.digests
+    )
     for claimed in shared:
-        joined = ', '.join(sorted(owners[claimed]))
-        conflicts.append(f'a key of the customers {joined} is out of force')
-    return [_keep_digests(customer, shared) for customer in customers]
+        users = ', '.join(
+            customer.name
+            for customer in customers
+            if claimed in customer.digests
+        )
+        conflicts.append(f'a key of the customers {users} is out of force')
+    return [_sound_customer(customer, shared) for customer in customers]
 
 
-def _keep_digests(customer: Customer, shared: set[str]) -> Customer:
+def _sound_customer(customer: Customer, shared: set[str]) -> Customer:
+    if shared.isdisjoint(customer.digests):
+        return customer
     kept = customer.digests - shared
     return Customer(customer.name, customer.rate, customer.burst, kept)
 
 
+def _repeated(names: Iterable[str]) -> set[str]:
+    counts = collections.Counter(names)
+    return {name for name, count in counts.items() if count > 1}
+
+
+def _name_of(upstream: Upstream) -> str:
+    return upstream.name
+
+
 def _zone_identity(zone: ZoneState) -> ZoneState:
     return zone
 
--- a/chervilstep/registry.py
+++ b/chervilstep/registry.py
@@ -23,6 +23,10 @@
         self._kind = kind
         self._entries: dict[str, Item] = {}
 
+    def __contains__(self, name: object) -> bool:
+        """Whether an item is registered under ``name``."""
+        return name in self._entries
+
     @property
     def names(self) -> tuple[str, ...]:
         """The registered names in alphabetical order."""
--- /dev/null
+++ b/lab/document_cost.py
@@ -0,0 +1,159 @@
+"""Measures what the document costs an instance: ``python -m lab.document_cost``.
+
+Each service has a section with its route; customers stand in sections of
+twenty. Prints the time to accept everything at a start, the time to accept a
+change, the time that one request takes for its route and key, and memory.
+"""
+
+import hashlib
+import random
+import statistics
+import sys
+import time
+import tracemalloc
+from typing import Final
+
+from chervilstep.adapters.capabilities import load_capabilities
+from chervilstep.commands.configuration import offer_section, offer_sections
+from chervilstep.node import Node, new_node
+from chervilstep.queries.access import authenticate
+from chervilstep.queries.routing import resolve
+from chervilstep.refusals import Refusal
+from chervilstep.settings import Settings
+
+#: Services, servers and customers; the last is the size to design for.
+SIZES: Final = ((4, 36, 8), (87, 470, 100), (870, 4700, 1000))
+CHANGES: Final = 30
+REQUESTS: Final = 20000
+CUSTOMERS_IN_SECTION: Final = 20
+KB: Final = 1000
+MS: Final = 1000
+US: Final = 1_000_000
+
+
+def run() -> int:
+    """Measures each size once."""
+    load_capabilities()
+    for services, servers, customers in SIZES:
+        texts = new_texts(services, servers, customers)
+        size = sum(map(len, texts.values())) / KB
+        print(
+            f'{services} services, {servers} servers, {customers} customers,'
+            f' {len(texts)} sections, {size:.0f} kB:'
+            f' start {start_seconds(texts) * MS:.1f} ms,'
+            f' change {change_seconds(texts) * MS:.2f} ms,'
+            f' request {request_seconds(texts) * US:.1f} us,'
+            f' memory {memory_bytes(texts) / KB:.0f} kB'
+        )
+    return 0
+
+
+def new_texts(services: int, servers: int, customers: int) -> dict[str, str]:
+    """The sections of a document of this size."""
+    texts = {'zones': '[zones]\nakl = "in-service"\n'}
+    for service in range(services):
+        numbers = range(service, servers, services)
+        texts[f'service-{service}'] = _service_text(service, numbers)
+    for first in range(0, customers, CUSTOMERS_IN_SECTION):
+        last = min(customers, first + CUSTOMERS_IN_SECTION)
+        texts[f'customers-{first}'] = ''.join(
+            map(_customer_text, range(first, last))
+        )
+    return texts
+
+
+def start_seconds(texts: dict[str, str]) -> float:
+    """The time to accept every section together."""
+    started = time.perf_counter()
+    _configured(texts)
+    return time.perf_counter() - started
+
+
+def change_seconds(texts: dict[str, str]) -> float:
+    """The median time to accept a change of one section."""
+    node = _configured(texts)
+    spent = []
+    for number in range(CHANGES):
+        started = time.perf_counter()
+        revision = len(texts) + number + 1
+        offer_section(node, 'service-0', revision, texts['service-0'], 0)
+        spent.append(time.perf_counter() - started)
+    return statistics.median(spent)
+
+
+def request_seconds(texts: dict[str, str]) -> float:
+    """The mean time to find the route and the customer of a request."""
+    node = _configured(texts)
+    digest = _digest_of(0)
+    started = time.perf_counter()
+    for _ in range(REQUESTS):
+        route = resolve(node.snapshot, 'GET', '/service-1/some/path')
+        if not isinstance(route, Refusal):
+            authenticate(node.snapshot, route, digest)
+    return (time.perf_counter() - started) / REQUESTS
+
+
+def memory_bytes(texts: dict[str, str]) -> int:
+    """The memory that the accepted sections hold."""
+    tracemalloc.start()
+    node = _configured(texts)
+    held = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    assert len(node.configuration.sections) == len(texts)
+    return held
+
+
+def _configured(texts: dict[str, str]) -> Node:
+    settings = Settings(
+        name='entry-1',
+        zone='akl',
+        entry_address='127.0.0.1:1',
+        peer_address='127.0.0.1:2',
+        admin_address='127.0.0.1:3',
+        configuration_source='file:unused',
+        peer_secret='unused',
+    )
+    node = new_node(settings, 1)
+    names = random.Random(1).sample(sorted(texts), len(texts))
+    offers = [
+        (name, revision, texts[name])
+        for revision, name in enumerate(names, start=1)
+    ]
+    offer_sections(node, offers, 0)
+    return node
+
+
+def _service_text(service: int, numbers: range) -> str:
+    lines = [f'[services.service-{service}]', 'slots = 3']
+    for number in numbers:
+        host = f'10.{number >> 16}.{number >> 8 & 255}.{number & 255}'
+        lines += [
+            f'[[services.service-{service}.upstreams]]',
+            f'name = "server-{number}"',
+            f'address = "{host}:9000"',
+            'zone = "akl"',
+        ]
+    lines += [
+        f'[routes.service-{service}]',
+        f'path = "/service-{service}/"',
+        f'service = "service-{service}"',
+        'methods = ["GET", "POST"]',
+        'customers = ["customer-0", "customer-1"]',
+        'timeout_ms = 2000',
+    ]
+    return '\n'.join(lines)
+
+
+def _customer_text(number: int) -> str:
+    return (
+        f'[customers.customer-{number}]\nrate = 100\nburst = 20\n'
+        f'keys = ["{_digest_of(number)}"]\n'
+    )
+
+
+def _digest_of(number: int) -> str:
+    return hashlib.sha256(f'key-{number}'.encode()).hexdigest()
+
+
+if __name__ == '__main__':
+    sys.exit(run())
