Log the refusal of a section once, and its end

Cause: operators were to see a refused section by a query, a counter and one log line; the line was missing.

Change: the sources write section_refused with the faults when the refused revision changes, and section_mended.

Conclusion: the test of the log and the tests of the sources pass.

--- a/chervilstep/adapters/files.py
+++ b/chervilstep/adapters/files.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 from typing import Final, final
 
+from chervilstep.adapters.section_log import SectionLog
 from chervilstep.adapters.source import SOURCES
 from chervilstep.commands.configuration import offer_section
 from chervilstep.commands.platform import confirm_alone, take_instances
@@ -24,7 +25,7 @@
     count the changes since the start of the process.
     """
 
-    __slots__ = ('_node', '_path', '_revision', '_texts')
+    __slots__ = ('_log', '_node', '_path', '_revision', '_texts')
 
     def __init__(self, node: Node, url: str) -> None:
         """Creates the source of the file or directory in ``url``."""
@@ -32,6 +33,7 @@
         self._path = pathlib.Path(url.partition(':')[2])
         self._texts: dict[str, str] = {}
         self._revision = 0
+        self._log = SectionLog(node)
 
     async def run(self) -> None:
         """Lists this instance alone, then reads until it is cancelled."""
@@ -56,6 +58,7 @@
                     self._node, name, self._revision, texts.get(name), now
                 )
         self._texts = texts
+        self._log.write()
         confirm_alone(self._node, now)
 
     def _read(self) -> Iterator[tuple[str, str]]:
--- a/chervilstep/adapters/platform.py
+++ b/chervilstep/adapters/platform.py
@@ -9,6 +9,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPError
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
+from chervilstep.adapters.section_log import SectionLog
 from chervilstep.adapters.source import SOURCES
 from chervilstep.adapters.streams import NumericResolver
 from chervilstep.commands.listing import take_seeds
@@ -120,7 +121,7 @@
 class PlatformSource:
     """Reads ``platform://ip:port`` as the duty of the instance requires."""
 
-    __slots__ = ('_client', '_node', '_position')
+    __slots__ = ('_client', '_log', '_node', '_position')
 
     def __init__(self, node: Node, url: str) -> None:
         """Creates the source of the platform in ``url``."""
@@ -130,6 +131,7 @@
         self._node = node
         self._client = PlatformClient(node, address)
         self._position: int | None = None
+        self._log = SectionLog(node)
 
     async def run(self) -> None:
         """Follows the list of instances and the document."""
@@ -200,6 +202,7 @@
                 known_at = min(self._now(), sent_at + wait)
         self._position = max(self._position or 0, answer.revision)
         take_sections(self._node, answer, known_at, self._now())
+        self._log.write()
         if duty is Duty.POLL:
             await asyncio.sleep(self._jitter(POLL_PAUSE_SECONDS))
 
--- a/tests/test_sources.py
+++ b/tests/test_sources.py
@@ -5,6 +5,7 @@
 import json
 
 import pytest
+import structlog
 
 from chervilstep.adapters.files import FileSource
 from chervilstep.adapters.platform import (
@@ -12,7 +13,9 @@
     parse_answer,
     parse_instance,
 )
+from chervilstep.adapters.section_log import SectionLog
 from chervilstep.adapters.sources import new_source
+from chervilstep.commands.configuration import offer_section
 from chervilstep.exceptions import PlatformError, UnknownName
 from chervilstep.node import new_node
 from chervilstep.platform import PlatformValue
@@ -20,7 +23,11 @@
 from lab.platform import Platform
 from lab.store import Store
 from tests.builders import KEY, a_settings, digest_of
-from tests.document_builders import customer_text, sections
+from tests.document_builders import (
+    a_configured_node,
+    customer_text,
+    sections,
+)
 from tests.wire_builders import a_closed_port
 
 INSTANCE = {
@@ -139,6 +146,24 @@
     asyncio.run(scenario())
 
 
+def test_refusal_is_logged_once_and_so_is_its_end():
+    node = a_configured_node()
+    log = SectionLog(node)
+    with structlog.testing.capture_logs() as lines:
+        log.write()
+        offer_section(node, 'customers', 2, 'broken', 0)
+        log.write()
+        log.write()
+        offer_section(node, 'customers', 3, customer_text(), 0)
+        log.write()
+    assert [line['event'] for line in lines] == [
+        'section_refused',
+        'section_mended',
+    ]
+    assert lines[0]['section'] == 'customers'
+    assert lines[0]['faults'][0].startswith('syntax: ')
+
+
 def test_unknown_scheme_is_refused():
     with pytest.raises(UnknownName):
         new_source(new_node(a_settings(source='ftp:x'), 1))
