--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -14,6 +14,7 @@
     FLEET_TOKENS_PER_SECOND,
     TOKENS_PER_CALL,
 )
+from chervilstep.tails import MIN_ANSWERS
 from lab.virtual_loop import run_virtually
 from tests.builders import a_call, a_stocked_node, a_ticket, an_upstream
 from tests.dispatch_builders import (
@@ -58,23 +59,28 @@
     )
     assert not may_retry(progress, progress.last, 0)
     # The layer below the next one is told as well.
-    attempt = new_attempt(
-        a_progress(a_ticket(a_call(attempt=2))), an_upstream(), 0
-    )
+    progress = a_progress(a_ticket(a_call(attempt=2)))
+    attempt = new_attempt(a_stocked_node(), progress, an_upstream(), 0)
     assert attempt.number == 2
 
 
 def test_silent_attempts_leave_room_for_a_retry_only_if_one_may_follow():
+    node = a_stocked_node()
+
     def seconds(method, attempts=0, **changes):
         progress = a_progress(a_ticket(a_call(method, **changes)))
         for _ in range(attempts):
-            progress.begin(new_attempt(progress, an_upstream(), 0))
-        return new_attempt(progress, an_upstream(), 0).deadline.at
+            progress.begin(new_attempt(node, progress, an_upstream(), 0))
+        return new_attempt(node, progress, an_upstream(), 0).deadline.at
 
     assert seconds('GET') == pytest.approx(1)
     assert seconds('GET', attempts=2) == pytest.approx(2)
     assert seconds('GET', attempt=2) == pytest.approx(2)
     assert seconds('POST') == pytest.approx(2)
+    # Most calls of a slow service would not end in half of the time.
+    for _ in range(MIN_ANSWERS):
+        node.tails.note('strike', 1)
+    assert 1.5 <= seconds('GET') <= 2
 
 
 def test_budget_of_the_fleet_is_bounded():
@@ -85,7 +91,7 @@
         now = index * 0.01
         earn(node, a_ticket(), now)
         while can_afford(node, now):
-            spend(node, now)
+            spend(node, now, 'retry')
             spent += 1
     bound = TOKENS_PER_CALL * calls
     bound += (FLEET_TOKENS + FLEET_TOKENS_PER_SECOND) / INSTANCES
@@ -101,7 +107,7 @@
 def test_clock_that_stands_still_adds_nothing():
     node = a_fleet_node()
     for _ in range(4):
-        spend(node, 10)
+        spend(node, 10, 'retry')
     assert balance(node, 10) == pytest.approx(0)
     assert balance(node, 9) == pytest.approx(0)
 
