--- a/chervilstep/hooks.py
+++ b/chervilstep/hooks.py
@@ -4,12 +4,13 @@
 of them and knows none by name.
 """
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Final, Generic, TypeAlias, TypeVar, final
 
-from chervilstep.calls import Attempt, Outcome, Ticket
+from chervilstep.calls import Attempt, Call, Outcome, Ticket
 from chervilstep.messages import Message
 from chervilstep.node import Node
+from chervilstep.readings import Reading
 from chervilstep.refusals import Refusal
 from chervilstep.registry import Registry, new_registry
 from chervilstep.snapshot import Service, Upstream
@@ -78,6 +79,8 @@
 Check: TypeAlias = Callable[[Node, Ticket, Instant], Refusal | None]
 #: Commands that charge a ticket which every check let pass.
 Charge: TypeAlias = Callable[[Node, Ticket, Instant], None]
+#: Commands told of a call that was refused before it could run.
+OnRefusal: TypeAlias = Callable[[Node, Call, Refusal, Instant], None]
 #: Commands told of the start of an attempt.
 OnStart: TypeAlias = Callable[[Node, Attempt], None]
 #: Commands told of the end of an attempt.
@@ -90,9 +93,12 @@
 ]
 #: Queries that describe a part of the state for operators, as JSON values.
 Describe: TypeAlias = Callable[[Node, Instant], object]
+#: Queries that read the levels of one gauge.
+Gauge: TypeAlias = Callable[[Node, Instant], Iterable[Reading]]
 
 CHECKS: Final[Steps[Check]] = Steps()
 CHARGES: Final[Steps[Charge]] = Steps()
+REFUSED_CALLS: Final[Steps[OnRefusal]] = Steps()
 ATTEMPT_STARTS: Final[Steps[OnStart]] = Steps()
 ATTEMPT_ENDS: Final[Steps[OnEnd]] = Steps()
 #: Commands by the kind of the message that they take in.
@@ -105,6 +111,8 @@
 FAREWELLS: Final[Steps[Periodic]] = Steps()
 #: The parts of the status page by name.
 STATUS_PARTS: Final[Registry[Describe]] = new_registry('status part')
+#: The gauges among the metrics by name.
+GAUGES: Final[Registry[Gauge]] = new_registry('gauge')
 POLICIES: Final[Registry[Policy]] = new_registry('policy')
 
 
--- a/chervilstep/node.py
+++ b/chervilstep/node.py
@@ -1,21 +1,30 @@
 """The whole state of one entry instance."""
 
 import random
-from typing import final
+from typing import Final, final
 
 from chervilstep.board import Board
+from chervilstep.burn import BurnLedger
 from chervilstep.configuration import Configuration
 from chervilstep.counters import Counters
+from chervilstep.latencies import Latencies
+from chervilstep.leases import Holder
 from chervilstep.members import Members
 from chervilstep.messages import Outbox
 from chervilstep.paths import Paths
 from chervilstep.quarantine import Quarantine
+from chervilstep.relay import Relay
 from chervilstep.retries import RetryBudget
 from chervilstep.settings import Settings
 from chervilstep.shares import Shares
 from chervilstep.snapshot import Snapshot
 from chervilstep.tails import Tails
+from chervilstep.voting import Leases
 from chervilstep.waiting import Waiting
+from chervilstep.warmth import WarmthTable
+
+#: Enough that no two processes draw the same incarnation.
+INCARNATION_BITS: Final = 52
 
 
 @final
@@ -28,10 +37,14 @@
 
     __slots__ = (
         '_board',
+        '_burn',
         '_configuration',
         '_counters',
+        '_latencies',
+        '_leases',
         '_members',
         '_outbox',
+        '_relay',
         '_paths',
         '_quarantine',
         '_retries',
@@ -40,6 +53,7 @@
         '_shares',
         '_tails',
         '_waiting',
+        '_warmth',
     )
 
     def __init__(self, settings: Settings, rng: random.Random) -> None:
@@ -49,9 +63,15 @@
         self._configuration = Configuration()
         self._members = Members(settings.name)
         self._board = Board()
+        self._warmth = WarmthTable()
         self._counters = Counters()
+        self._burn = BurnLedger()
+        self._latencies = Latencies()
         self._outbox = Outbox()
-        self._shares = Shares()
+        incarnation = rng.getrandbits(INCARNATION_BITS)
+        self._shares = Shares(incarnation)
+        self._leases = Leases(Holder(settings.name, incarnation))
+        self._relay = Relay()
         self._waiting = Waiting()
         self._tails = Tails()
         self._quarantine = Quarantine()
@@ -88,16 +108,41 @@
         """The load of the upstreams."""
         return self._board
 
+    @property
+    def warmth(self) -> WarmthTable:
+        """How much work each upstream may get."""
+        return self._warmth
+
     @property
     def counters(self) -> Counters:
         """Counts of what happened."""
         return self._counters
 
+    @property
+    def burn(self) -> BurnLedger:
+        """Counts of good and bad events for the service levels."""
+        return self._burn
+
+    @property
+    def latencies(self) -> Latencies:
+        """How long answers take."""
+        return self._latencies
+
     @property
     def outbox(self) -> Outbox:
         """Messages for peers that were not sent yet."""
         return self._outbox
 
+    @property
+    def leases(self) -> Leases:
+        """The shards of the customers' limits that this instance holds."""
+        return self._leases
+
+    @property
+    def relay(self) -> Relay:
+        """What passes the configuration on between peers."""
+        return self._relay
+
     @property
     def retries(self) -> RetryBudget:
         """The budget of retries and hedges."""
--- a/lab/documents.py
+++ b/lab/documents.py
@@ -6,15 +6,17 @@
 
 import json
 import re
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Final, final
 
-from lab.topology import Topology
+from lab.topology import EntryPlace, Topology
 
 SERVICES: Final = 'services'
 ZONES: Final = 'zones'
 CUSTOMERS: Final = 'customers'
+ROUTES: Final = 'routes'
 _SECTION_PREFIX: Final = 'config/'
+_MS: Final = 1000
 
 
 @final
@@ -65,6 +67,13 @@
     )
 
 
+def with_timeouts(text: str, seconds: float) -> str:
+    """Gives every route this timeout."""
+    return _replaced(
+        '(?m)^timeout_ms = .*$', f'timeout_ms = {int(seconds * _MS)}', text
+    )
+
+
 def with_zone(text: str, zone: str, state: str) -> str:
     """Sets the state of one zone."""
     return _replaced(
@@ -116,7 +125,7 @@
 
 
 def instance_values(
-    topology: Topology, leaving: frozenset[str] = frozenset()
+    places: Iterable[EntryPlace], leaving: frozenset[str] = frozenset()
 ) -> dict[str, str]:
     """The list of entry instances, as values of the platform."""
     return {
@@ -128,7 +137,7 @@
                 'state': 'leaving' if place.name in leaving else 'live',
             }
         )
-        for place in topology.entries
+        for place in places
     }
 
 
--- a/lab/processes.py
+++ b/lab/processes.py
@@ -1,5 +1,6 @@
 """Starts processes of this machine and ends exactly those, by their ids."""
 
+import asyncio
 import os
 import pathlib
 import signal
@@ -61,12 +62,26 @@
                 stderr=log,
             )
 
+    def exit_code(self, name: str) -> int | None:
+        """The exit code of a child, or None while it runs."""
+        return self._children[name].poll()
+
     def send(self, name: str, number: signal.Signals) -> None:
         """Sends a signal to one child that still runs."""
         child = self._children[name]
         if child.poll() is None:
             child.send_signal(number)
 
+    async def ended(self, name: str, seconds: float) -> None:
+        """Waits for one child to end.
+
+        Raises:
+            TimeoutError: It still runs after ``seconds``.
+        """
+        async with asyncio.timeout(seconds):
+            while self._children[name].poll() is None:
+                await asyncio.sleep(_POLL_SECONDS)
+
     def end_all(self) -> None:
         """Asks every child to stop and kills those that do not."""
         for name in self._children:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -41,6 +41,7 @@
 def a_node(snapshot=None, name='entry-1', zone='akl', seed=1) -> Node:
     node = new_node(a_settings(name, zone), seed)
     node.configuration.publish(snapshot or a_snapshot())
+    node.configuration.confirm(Deadline(math.inf))
     return node
 
 
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -10,7 +10,7 @@
 from chervilstep.retries import FLEET_TOKENS
 from chervilstep.tails import MIN_ANSWERS, Tail
 from lab.virtual_loop import run_virtually
-from tests.builders import a_call
+from tests.builders import a_call, an_attempt
 from tests.dispatch_builders import (
     FakePool,
     HeldPool,
@@ -101,7 +101,7 @@
 
 def test_no_hedge_without_a_free_slot():
     node = a_hedging_node(upstreams=2)
-    node.board.load('strike-2').start()
+    node.board.load('strike-2').start(an_attempt(), 0)
     _, _, pool = handle_busy(node)
     assert len(pool.sent) == 1
 
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -12,6 +12,7 @@
     a_service,
     a_snapshot,
     a_stocked_node,
+    an_attempt,
     an_upstream,
 )
 from tests.dispatch_builders import FakePool, Step, a_dispatcher
@@ -152,10 +153,11 @@
     async def script(session):
         session.send('first', 'POST', body=b'poison')
         await asyncio.sleep(0.1)
-        session.node.board.load('strike-1').start()
+        lost = an_attempt()
+        session.node.board.load('strike-1').start(lost, 0)
         session.send('again', 'POST', body=b'poison')
         await asyncio.sleep(0.1)
-        session.node.board.load('strike-1').end()
+        session.node.board.load('strike-1').end(lost)
         session.send('third', 'POST', body=b'poison')
         session.send('other', 'POST')
         session.send('cement', 'POST', key='cement', body=b'poison')
