Bound two loops of tests that a broken budget or queue kept running

Cause: three broken copies did not end; two because a test looped. Change: both loops are bounded and fail. Ruled out: a time limit, which says nothing on a busy machine.

--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -147,8 +147,11 @@
     tasks = [loop.create_task(dispatcher.handle(a_call())) for _ in range(2)]
     loop.turn()
     pool.finish(pool.held[0], Ending.ANSWERED, ran=True)
+    turns = 0
     while node.waiting.queue('strike'):
         loop.turn()
+        turns += 1
+        assert turns < 10
     loop.jump(60)
     loop.run_until_complete(asyncio.wait(tasks))
     assert tasks[1].result() is refusals.DEADLINE_PASSED
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -90,7 +90,7 @@
     for index in range(calls):
         now = index * 0.01
         earn(node, a_ticket(), now)
-        while can_afford(node, now):
+        while can_afford(node, now) and spent < 10 * calls:
             spend(node, now, 'retry')
             spent += 1
     bound = TOKENS_PER_CALL * calls
