--- a/lab/dispatching.py
+++ b/lab/dispatching.py
@@ -26,6 +26,7 @@
     Reply,
     Ticket,
 )
+from chervilstep.commands import budget
 from chervilstep.hooks import POLICIES
 from chervilstep.node import Node, new_node
 from chervilstep.queries import hedging
@@ -235,6 +236,7 @@
 
 async def play(
     loop: VirtualLoop,
+    node: Node,
     dispatcher: Dispatcher,
     source: Source,
     results: Results,
@@ -247,6 +249,7 @@
 
     async def one(ticket: Ticket) -> None:
         started_at = loop.time()
+        budget.earn(node, ticket, started_at)
         reply = await dispatcher.run(ticket)
         if started_at > WARM_UP_SECONDS:
             results.take(group_of(source), reply, loop.time() - started_at)
@@ -283,6 +286,7 @@
                 *(
                     play(
                         loop,
+                        node,
                         dispatcher,
                         source,
                         results,
@@ -355,11 +359,13 @@
 
 async def spend(method: str) -> float:
     """Returns the microseconds of a call."""
-    dispatcher = new_dispatcher(build_node(1), NullPool(), time.monotonic)
+    node = build_node(1)
+    dispatcher = new_dispatcher(node, NullPool(), time.monotonic)
     source = Source(NOISY, 1, method=method)
     started_at = time.process_time()
     for _ in range(COST_CALLS):
         ticket = build_ticket(source, time.monotonic(), 1, NOISY)
+        budget.earn(node, ticket, ticket.arrived_at)
         await dispatcher.run(ticket)
     total = time.process_time() - started_at
     started_at = time.process_time()
