--- a/chervilstep/node.py
+++ b/chervilstep/node.py
@@ -21,6 +21,7 @@
 from chervilstep.tails import Tails
 from chervilstep.voting import Leases
 from chervilstep.waiting import Waiting
+from chervilstep.warmth import WarmthTable
 
 #: Enough that no two processes draw the same incarnation.
 INCARNATION_BITS: Final = 52
@@ -52,6 +53,7 @@
         '_shares',
         '_tails',
         '_waiting',
+        '_warmth',
     )
 
     def __init__(self, settings: Settings, rng: random.Random) -> None:
@@ -61,6 +63,7 @@
         self._configuration = Configuration()
         self._members = Members(settings.name)
         self._board = Board()
+        self._warmth = WarmthTable()
         self._counters = Counters()
         self._burn = BurnLedger()
         self._latencies = Latencies()
@@ -105,6 +108,11 @@
         """The load of the upstreams."""
         return self._board
 
+    @property
+    def warmth(self) -> WarmthTable:
+        """How much work each upstream may get."""
+        return self._warmth
+
     @property
     def counters(self) -> Counters:
         """Counts of what happened."""
