--- a/chervilstep/adapters/dispatcher.py
+++ b/chervilstep/adapters/dispatcher.py
@@ -123,7 +123,7 @@
         now = self._clock()
         reply = retrying.reply_after(self._node, progress, outcome, now)
         if reply is None:
-            budget.spend(self._node, now)
+            budget.spend(self._node, now, 'retry')
         return reply
 
     async def _acquire(self, progress: Progress) -> Attempt | Refusal:
@@ -142,7 +142,7 @@
     def _start(
         self, progress: Progress, upstream: Upstream, now: Instant
     ) -> Attempt:
-        attempt = new_attempt(progress, upstream, now)
+        attempt = new_attempt(self._node, progress, upstream, now)
         attempts.start(self._node, progress, attempt)
         return attempt
 
@@ -190,8 +190,7 @@
         upstream = hedging.hedge_upstream(self._node, progress, now)
         if upstream is None:
             return None
-        budget.spend(self._node, now)
-        self._node.counters.add('hedges')
+        budget.spend(self._node, now, 'hedge')
         return self._send(progress, self._start(progress, upstream, now))
 
     async def _send(self, progress: Progress, attempt: Attempt) -> Outcome:
