--- a/tests/test_lab_documents.py
+++ b/tests/test_lab_documents.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from chervilstep.adapters.capabilities import load_capabilities
 from chervilstep.queries.composition import compose
 from chervilstep.queries.document import parse_section
 from lab import documents
@@ -12,6 +13,8 @@
 
 
 def snapshot_of(texts):
+    # As in an instance: a document may only name policies that are loaded.
+    load_capabilities()
     contents = {name: parse_section(text) for name, text in texts.items()}
     return compose(contents).snapshot
 
