--- a/chervilstep/board.py
+++ b/chervilstep/board.py
@@ -156,7 +156,12 @@
         self._failures += 1
 
     def shed(self, started_at: Instant, now: Instant) -> None:
-        """Counts a request that was shed, and a burst of them as one."""
+        """Counts a request that was shed, and a burst of them as one.
+
+        Sheds that lie further apart than the memory of sheds say nothing.
+        """
+        if not self.shed_lately(now):
+            self._sheds = 0
         if started_at >= self._last_shed_at:
             self._sheds += 1
             self._last_shed_at = now
--- a/chervilstep/commands/warmth_news.py
+++ b/chervilstep/commands/warmth_news.py
@@ -10,6 +10,7 @@
     accepts,
     all_beliefs,
     belief_of,
+    homes_to_tell,
     may_send_news,
     peer_count,
 )
@@ -29,14 +30,11 @@
 def flush_news(node: Node, now: Instant) -> None:
     """Sends the news that the budget allows, the oldest first."""
     table = node.warmth
-    beliefs = []
     for name in table.changed:
-        if may_send_news(node, now):
-            beliefs.append(belief_of(name, table.record(name), now))
-            table.told(name)
-            spend_news(node, BELIEF_BYTES, now)
-    if beliefs and peer_count(node, now):
-        node.outbox.put(EVERY_PEER, new_news(beliefs))
+        if not may_send_news(node, now):
+            return
+        table.told(name)
+        _send(node, belief_of(name, table.record(name), now), now)
 
 
 def spend_news(node: Node, size_bytes: int, now: Instant) -> None:
@@ -66,6 +64,17 @@
                 _adopt(node, belief, now)
 
 
+def _send(node: Node, belief: Belief, now: Instant) -> None:
+    homes = homes_to_tell(node, belief, now)
+    news = new_news([belief])
+    if homes is None:
+        spend_news(node, BELIEF_BYTES, now)
+        node.outbox.put(EVERY_PEER, news)
+        return
+    for home in homes:
+        node.outbox.put(home, news)
+
+
 def _adopt(node: Node, belief: Belief, now: Instant) -> None:
     name = belief.upstream
     seconds = min(MAX_CLOSED_SECONDS, belief.closed_seconds)
--- a/chervilstep/queries/policies.py
+++ b/chervilstep/queries/policies.py
@@ -4,18 +4,23 @@
 waiting to the upstreams, so they never answer that a request should wait.
 """
 
-from typing import Final
+import sys
+from typing import Final, TypeAlias
 
 from chervilstep.board import UpstreamLoad
 from chervilstep.hooks import POLICIES
 from chervilstep.node import Node
 from chervilstep.queries.homes import own_slots
-from chervilstep.queries.warmth import is_open
+from chervilstep.queries.warmth import open_slots
 from chervilstep.snapshot import Service, Upstream
 from chervilstep.types import Instant
 
 #: Requests that an instance sends to an upstream beyond its own slots there.
 SPARE_SLOTS: Final = 1
+#: Whether the own slots are taken, requests in flight, and the last turn.
+Rank: TypeAlias = tuple[bool, int, int]
+#: The rank of an upstream that takes nothing from this instance now.
+WORST_RANK: Final[Rank] = (True, sys.maxsize, 0)
 
 
 @POLICIES.register('random')
@@ -76,32 +81,33 @@
     if load is not None and load.in_flight >= load.limit:
         return None
     homes = own_slots(node, service, now)
-    ranks = {
-        upstream: _rank(node, upstream, len(homes[upstream.name]))
-        for upstream in usable
-        if is_open(node, service, upstream, now)
-        and _has_room(node, upstream, len(homes[upstream.name]), now)
-    }
-    if not ranks:
-        return None
-    best = min(ranks.values())
-    return node.rng.choice(
-        [upstream for upstream, rank in ranks.items() if rank == best]
-    )
-
-
-def _rank(node: Node, upstream: Upstream, homes: int) -> tuple[bool, int, int]:
-    load = node.board.loads.get(upstream.name)
-    if load is None:
-        return (homes == 0, 0, 0)
-    return (load.in_flight >= homes, load.in_flight, load.last_turn)
-
-
-def _has_room(node: Node, upstream: Upstream, homes: int, now: Instant) -> bool:
+    best: list[Upstream] = []
+    lowest = WORST_RANK
+    for upstream in usable:
+        rank = _rank(node, upstream, homes[upstream.name], now)
+        if rank < lowest:
+            best = [upstream]
+            lowest = rank
+        elif rank == lowest and best:
+            best.append(upstream)
+    return node.rng.choice(best) if best else None
+
+
+def _rank(
+    node: Node, upstream: Upstream, homes: tuple[int, ...], now: Instant
+) -> Rank:
+    """Ranks an upstream, the lower the better; the worst takes nothing."""
+    record = node.warmth.records.get(upstream.name)
     load = node.board.loads.get(upstream.name)
+    in_flight = load.in_flight if load else 0
+    if record is None or not record.takes_all(now):
+        if in_flight >= open_slots(record, homes, now):
+            return WORST_RANK
     if load is None:
-        return True
-    return load.in_flight < homes + SPARE_SLOTS and not load.is_full(now)
+        return (not homes, 0, 0)
+    if in_flight >= len(homes) + SPARE_SLOTS or load.is_full(now):
+        return WORST_RANK
+    return (in_flight >= len(homes), in_flight, load.last_turn)
 
 
 def _reported(load: UpstreamLoad | None, now: Instant) -> int:
--- a/chervilstep/queries/warmth.py
+++ b/chervilstep/queries/warmth.py
@@ -34,15 +34,23 @@
     for each, so that all instances together stay within its level.
     """
     record = node.warmth.records.get(upstream.name)
-    if record is not None:
-        if record.is_closed(now):
-            return False
-        if record.level(now) >= WARM:
-            return True
-    level = COLD if record is None else record.level(now)
-    mine = own_slots(node, service, now).get(upstream.name, ())
-    opened = sum(number < level for number in mine)
-    return node.board.in_flight(upstream.name) < opened
+    if record is not None and record.takes_all(now):
+        return True
+    homes = own_slots(node, service, now).get(upstream.name, ())
+    in_flight = node.board.in_flight(upstream.name)
+    return in_flight < open_slots(record, homes, now)
+
+
+def open_slots(
+    record: Warmth | None, homes: tuple[int, ...], now: Instant
+) -> int:
+    """How many of the own slots ``homes`` a cold upstream has open."""
+    if record is None:
+        return sum(number < COLD for number in homes)
+    if record.is_closed(now):
+        return 0
+    level = record.level(now)
+    return sum(number < level for number in homes)
 
 
 def leads(
@@ -84,7 +92,7 @@
     if load.failures >= EVIDENCE:
         return True
     if load.sheds >= EVIDENCE:
-        return not is_service_full(node, service, now)
+        return not is_service_short(node, service, upstream, now)
     overdue = sum(
         is_slow(node, service, now - attempt.started_at)
         for attempt in load.attempts
@@ -93,6 +101,19 @@
     return load.slow + overdue >= EVIDENCE
 
 
+def is_service_short(
+    node: Node, service: Service, upstream: Upstream, now: Instant
+) -> bool:
+    """Whether ``upstream`` sheds since others are full, or cold."""
+    if is_service_full(node, service, now):
+        return True
+    return any(
+        level_of(node, other, now) < WARM
+        for other in service.upstreams
+        if other is not upstream
+    )
+
+
 def is_service_full(node: Node, service: Service, now: Instant) -> bool:
     """Whether so many upstreams shed that the load must be the cause."""
     loads = node.board.loads
--- a/chervilstep/queries/warmth_news.py
+++ b/chervilstep/queries/warmth_news.py
@@ -3,11 +3,11 @@
 from typing import Final
 
 from chervilstep.node import Node
-from chervilstep.queries.homes import live_instances
+from chervilstep.queries.homes import live_instances, slot_homes
 from chervilstep.queries.warmth import may_eject
 from chervilstep.snapshot import Service
 from chervilstep.types import Instant
-from chervilstep.warmth import WARM, Warmth
+from chervilstep.warmth import COLD, WARM, Warmth
 from chervilstep.warmth_messages import Belief
 
 #: Bytes a second that an instance spends on news, over all peers.
@@ -63,6 +63,21 @@
     return True
 
 
+def homes_to_tell(
+    node: Node, belief: Belief, now: Instant
+) -> tuple[str, ...] | None:
+    """The peers that a belief concerns; None stands for every peer.
+
+    While an upstream is on its ramp only the homes of its slots act on it.
+    """
+    service = _service_of(node, belief.upstream)
+    if service is None or belief.level in {COLD, WARM}:
+        return None
+    live = node.board.live or live_instances(node, now)
+    homes = set(slot_homes(service, live)[belief.upstream])
+    return tuple(sorted(homes - {node.settings.name}))
+
+
 def peer_count(node: Node, now: Instant) -> int:
     """How many peers get a message that goes to every peer."""
     live = node.board.live or live_instances(node, now)
--- a/chervilstep/warmth.py
+++ b/chervilstep/warmth.py
@@ -88,6 +88,12 @@
             return COLD
         return self._level
 
+    def takes_all(self, now: Instant) -> bool:
+        """Whether the upstream is warm, so that every instance may send."""
+        if self._level < WARM or self._believed_until.has_passed(now):
+            return False
+        return self._closed_until.has_passed(now)
+
     def is_closed(self, now: Instant) -> bool:
         """Whether the upstream gets no work at the moment."""
         return not self._closed_until.has_passed(now)
--- a/lab/choice.py
+++ b/lab/choice.py
@@ -21,6 +21,11 @@
     return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
 
 
+def most_at_cold(fleet: Fleet) -> int:
+    """The most requests that any server had at once while it was cold."""
+    return max(server.worst_when_cold for server in fleet.servers.values())
+
+
 def figures(fleet: Fleet) -> str:
     """One line of figures of a finished run."""
     options = fleet.options
@@ -36,7 +41,8 @@
         f'{options.policy:16} load {options.load:.2f} {quantiles} ms  '
         f'answered {fleet.results["answered"] / seconds:6.0f}/s of '
         f'{fleet.rate():6.0f}  sheds {sheds:6}  '
-        f'messages {messages / options.duration:5.1f}/s a node'
+        f'messages {messages / options.duration:5.1f}/s a node  '
+        f'at a cold server {most_at_cold(fleet)}'
     )
 
 
@@ -45,6 +51,7 @@
     policies: list[str] = list(POLICIES),
     loads: list[float] = list(LOADS),
     stragglers: int = 0,
+    fault: str = '',
     slow: float = 10,
     queue_limit: int = 6,
     sigma: float = 0.5,
@@ -60,6 +67,8 @@
     :param policies: names of policies; lab/candidates.py adds some
     :param loads: parts of all slots in use
     :param stragglers: 1 makes one server at a time slow, half of the time
+    :param fault: "zone" withdraws one and returns it cold; "cold" turns its
+        servers cold without a word
     :param slow: how many times slower a straggler is
     :param queue_limit: requests that wait at a server before it sheds
     :param sigma: spread of lognormal service times; 0 is exponential
@@ -74,6 +83,7 @@
         for policy in policies:
             options = Options(policy, load)
             options.stragglers = stragglers
+            options.fault = fault
             options.slow = slow
             options.queue_limit = queue_limit
             options.sigma = sigma
--- a/lab/choice_model.py
+++ b/lab/choice_model.py
@@ -50,6 +50,11 @@
 REPORT_SECONDS = 1.0
 STRAGGLER_SECONDS = 2.0
 ZONES = ('akl', 'ham', 'tga', 'wlg')
+IN_SERVICE = dict.fromkeys(ZONES, ZoneState.IN_SERVICE)
+OUT = ZoneState.WITHDRAWN
+LOST_ZONE = 'tga'
+FAULT_SECONDS = 2.0
+COLD_SECONDS = 3.0
 SERVICE = 'results'
 OK = Answer(200, 'OK', (), b'')
 #: The periodic commands that bear on the choice of upstream.
@@ -62,6 +67,7 @@
     __slots__ = (
         'delay',
         'duration',
+        'fault',
         'instances',
         'load',
         'policy',
@@ -91,6 +97,8 @@
         self.queue_limit = 6
         self.stale = (0.1, 1.0)
         self.stragglers = 0
+        # 'zone' takes one out and returns it cold; 'cold' says nothing.
+        self.fault = ''
         # How many times slower a straggler is.
         self.slow = 10.0
         # The exponent of the Zipf law by which calls spread over instances.
@@ -160,7 +168,7 @@
         self.queues: dict[str, deque[tuple[Ticket, frozenset[str], int]]] = {
             name: deque() for name in self.nodes
         }
-        self.publish(dict.fromkeys(ZONES, ZoneState.IN_SERVICE))
+        self.publish(IN_SERVICE)
         for name in self.nodes:
             for tick in TICK_NAMES:
                 self.tick(name, TICKS.find(tick))
@@ -185,6 +193,13 @@
             self.at(0, self.report, server)
         if self.options.stragglers:
             self.at(self.options.warmup, self.straggle, 0)
+        fault = self.options.warmup + FAULT_SECONDS
+        if self.options.fault == 'zone':
+            self.at(fault, self.publish, {**IN_SERVICE, LOST_ZONE: OUT})
+            self.at(fault + FAULT_SECONDS, self.publish, IN_SERVICE)
+            self.at(fault + FAULT_SECONDS, self.turn_cold)
+        if self.options.fault == 'cold':
+            self.at(fault, self.turn_cold)
         while self.heap and self.heap[0][0] < self.options.duration:
             self.now, _, function, values = heapq.heappop(self.heap)
             function(*values)
@@ -356,6 +371,13 @@
         """Ends the slowness of a server."""
         server.slow = 1
 
+    def turn_cold(self) -> None:
+        """Makes the servers of one zone cold for a while."""
+        for upstream in self.upstreams:
+            if upstream.zone == LOST_ZONE:
+                server = self.servers[upstream.name]
+                server.cold_until = self.now + COLD_SECONDS
+
     def _new_nodes(self) -> dict[str, Node]:
         listed = [
             Instance(f'entry-{index + 1}', ZONES[index % len(ZONES)], '', '')
