Send no news of warmth when there is no peer

Change: news to every peer is put only when there is one, as before. Ruled out: changing the test; it was right.

--- a/chervilstep/commands/warmth_news.py
+++ b/chervilstep/commands/warmth_news.py
@@ -68,9 +68,8 @@
     homes = homes_to_tell(node, belief, now)
     news = new_news([belief])
     if homes is None:
+        homes = (EVERY_PEER,) if peer_count(node, now) else ()
         spend_news(node, BELIEF_BYTES, now)
-        node.outbox.put(EVERY_PEER, news)
-        return
     for home in homes:
         node.outbox.put(home, news)
 
