--- a/chervilstep/commands/review.py
+++ b/chervilstep/commands/review.py
@@ -9,6 +9,7 @@
 from chervilstep.queries.homes import live_instances
 from chervilstep.queries.warmth import (
     is_unknown,
+    knows_nothing,
     out_of_service,
     peer_for,
     typical_latency,
@@ -32,12 +33,30 @@
     if service is None or node.warmth.was_asked(name, now):
         return
     if is_unknown(node, service, now):
+        node.warmth.ask(name, new_deadline(now, ASK_SECONDS))
         peer = peer_for(node, f'{name}\0{node.rng.random()}', now)
         if peer is not None:
-            node.warmth.ask(name, new_deadline(now, ASK_SECONDS))
             node.outbox.put(peer, WarmthAsk(name))
 
 
+@every(REVIEW_PERIOD_SECONDS, 'presume-warmth')
+def presume_warmth(node: Node, now: Instant) -> None:
+    """Takes a service for warm of which nobody asked knows anything.
+
+    That is so when the whole fleet started. Its servers have been up for as
+    long as anyone knows; the limits of requests in flight start low and the
+    own outcomes find the cold ones. Ramping all of them at once, each by the
+    calls of one instance, would refuse most calls for as long as it lasts.
+    """
+    for name in node.warmth.asked:
+        service = node.snapshot.services.get(name)
+        if service is None or node.warmth.was_asked(name, now):
+            continue
+        if knows_nothing(node, service):
+            for upstream in service.upstreams:
+                node.warmth.record(upstream.name).presume_warm(now)
+
+
 @every(REVIEW_PERIOD_SECONDS, 'review-upstreams')
 def review_upstreams(node: Node, now: Instant) -> None:
     """Follows the configuration, the fleet and the typical latencies."""
--- a/chervilstep/queries/warmth.py
+++ b/chervilstep/queries/warmth.py
@@ -161,6 +161,15 @@
     return False
 
 
+def knows_nothing(node: Node, service: Service) -> bool:
+    """Whether this instance never heard of any upstream of ``service``."""
+    records = node.warmth.records
+    return not any(
+        upstream.name in records and records[upstream.name].is_known
+        for upstream in service.upstreams
+    )
+
+
 def peer_for(node: Node, purpose: str, now: Instant) -> str | None:
     """The live peer that rendezvous hashing names for ``purpose``."""
     live = node.board.live or live_instances(node, now)
--- a/chervilstep/warmth.py
+++ b/chervilstep/warmth.py
@@ -78,6 +78,11 @@
         """Answers of normal latency since the last change of the level."""
         return self._good
 
+    @property
+    def is_known(self) -> bool:
+        """Whether anything was ever learnt about the upstream."""
+        return self._believed_until is not ALREADY
+
     def is_believed(self, now: Instant) -> bool:
         """Whether the belief is recent enough to act on."""
         return not self._believed_until.has_passed(now)
@@ -122,6 +127,12 @@
         if level == WARM:
             self._ejections = 0
 
+    def presume_warm(self, now: Instant) -> None:
+        """Opens every slot of an upstream that nobody knows anything of."""
+        self._level = WARM
+        self._since = now
+        self._believed_until = Deadline(now + BELIEF_SECONDS)
+
     def cool(self, closed_until: Deadline, now: Instant) -> None:
         """Starts a new epoch at the lowest level."""
         self._epoch += 1
@@ -172,6 +183,11 @@
         """Upstreams that were seen withdrawn or leaving."""
         return self._out_of_service
 
+    @property
+    def asked(self) -> tuple[str, ...]:
+        """The services for which a peer was asked."""
+        return tuple(self._asked_until)
+
     def was_asked(self, service: str, now: Instant) -> bool:
         """Whether a peer was asked for ``service`` a short time ago."""
         until = self._asked_until.get(service)
