Choose the least used warm upstream by default; ask for warmth before calls

After a start of the whole fleet every upstream counted as cold, and each was warmed by the calls of one instance alone, about one call in two seconds there; its limit on requests in flight also shrank on service times with a long tail. A new policy, warm-least-in-flight, keeps the cold start, the ejections and the slots of home-slots and leaves out its limit and its preference for own slots; it is the default. home-slots stays selectable. Ruled out: least-in-flight as the default (as fast, but it knows no cold start); home-slots with the presumption alone.

--- a/chervilstep/commands/review.py
+++ b/chervilstep/commands/review.py
@@ -21,6 +21,8 @@
 LEARN_RANK: Final = 30
 #: How long to wait for the answer of a peer before another one is asked.
 ASK_SECONDS: Final = 0.25
+#: How many services are asked about in one review.
+ASKS_PER_REVIEW: Final = 20
 #: How often live instances and typical latencies are looked at again.
 REVIEW_PERIOD_SECONDS: Final = 0.1
 
@@ -33,10 +35,26 @@
     if service is None or node.warmth.was_asked(name, now):
         return
     if is_unknown(node, service, now):
-        node.warmth.ask(name, new_deadline(now, ASK_SECONDS))
-        peer = peer_for(node, f'{name}\0{node.rng.random()}', now)
-        if peer is not None:
-            node.outbox.put(peer, WarmthAsk(name))
+        _ask_peer(node, name, now)
+
+
+@every(REVIEW_PERIOD_SECONDS, 'learn-services')
+def learn_services(node: Node, now: Instant) -> None:
+    """Asks about services that are new here, before their first call."""
+    new = [
+        name
+        for name in node.snapshot.services
+        if not node.warmth.was_ever_asked(name)
+    ]
+    for name in new[:ASKS_PER_REVIEW]:
+        _ask_peer(node, name, now)
+
+
+def _ask_peer(node: Node, service: str, now: Instant) -> None:
+    node.warmth.ask(service, new_deadline(now, ASK_SECONDS))
+    peer = peer_for(node, f'{service}\0{node.rng.random()}', now)
+    if peer is not None:
+        node.outbox.put(peer, WarmthAsk(service))
 
 
 @every(REVIEW_PERIOD_SECONDS, 'presume-warmth')
--- a/chervilstep/queries/kinds.py
+++ b/chervilstep/queries/kinds.py
@@ -23,7 +23,7 @@
 #: The kinds of definitions by the name of their table.
 KINDS: Final[Registry[KindParser]] = new_registry('kind of definition')
 
-DEFAULT_POLICY: Final = 'home-slots'
+DEFAULT_POLICY: Final = 'warm-least-in-flight'
 DEFAULT_IDEMPOTENT: Final = ('GET', 'HEAD', 'OPTIONS')
 MAX_SLOTS: Final = 1024
 MAX_TIMEOUT_MS: Final = 600_000
--- a/chervilstep/queries/policies.py
+++ b/chervilstep/queries/policies.py
@@ -5,6 +5,7 @@
 """
 
 import sys
+from collections.abc import Mapping
 from typing import Final, TypeAlias
 
 from chervilstep.board import UpstreamLoad
@@ -81,28 +82,80 @@
     if load is not None and load.in_flight >= load.limit:
         return None
     homes = own_slots(node, service, now)
-    best: list[Upstream] = []
-    lowest = WORST_RANK
-    for upstream in usable:
-        rank = _rank(node, upstream, homes[upstream.name], now)
-        if rank < lowest:
-            best = [upstream]
-            lowest = rank
-        elif rank == lowest and best:
-            best.append(upstream)
-    return node.rng.choice(best) if best else None
+    return _lowest(
+        node,
+        {
+            upstream: _rank(node, upstream, homes[upstream.name], now)
+            for upstream in usable
+        },
+    )
 
 
-def _rank(
+@POLICIES.register('warm-least-in-flight')
+def pick_warm(
+    node: Node, service: Service, usable: tuple[Upstream, ...], now: Instant
+) -> Upstream | None:
+    """Picks the least used upstream among those that can bear more work.
+
+    Cold upstreams take what their open slots allow, and only from the homes
+    of these; no upstream takes more from one instance than it has slots.
+    Among equals the one that was picked the longest time ago is next.
+    """
+    homes = own_slots(node, service, now)
+    return _lowest(
+        node,
+        {
+            upstream: _warm_rank(node, upstream, homes[upstream.name], now)
+            for upstream in usable
+        },
+    )
+
+
+def _lowest(node: Node, ranks: Mapping[Upstream, Rank]) -> Upstream | None:
+    lowest = min(ranks.values(), default=WORST_RANK)
+    if lowest == WORST_RANK:
+        return None
+    return node.rng.choice(
+        [upstream for upstream, rank in ranks.items() if rank == lowest]
+    )
+
+
+def _warm_rank(
     node: Node, upstream: Upstream, homes: tuple[int, ...], now: Instant
 ) -> Rank:
     """Ranks an upstream, the lower the better; the worst takes nothing."""
+    in_flight = node.board.in_flight(upstream.name)
+    if not _has_open_slot(node, upstream, homes, in_flight, now):
+        return WORST_RANK
+    load = node.board.loads.get(upstream.name)
+    if load is None:
+        return (False, 0, 0)
+    if in_flight >= upstream.slots or load.is_full(now):
+        return WORST_RANK
+    return (False, in_flight, load.last_turn)
+
+
+def _has_open_slot(
+    node: Node,
+    upstream: Upstream,
+    homes: tuple[int, ...],
+    in_flight: int,
+    now: Instant,
+) -> bool:
     record = node.warmth.records.get(upstream.name)
+    if record is not None and record.takes_all(now):
+        return True
+    return in_flight < open_slots(record, homes, now)
+
+
+def _rank(
+    node: Node, upstream: Upstream, homes: tuple[int, ...], now: Instant
+) -> Rank:
+    """Ranks an upstream, the lower the better; the worst takes nothing."""
     load = node.board.loads.get(upstream.name)
     in_flight = load.in_flight if load else 0
-    if record is None or not record.takes_all(now):
-        if in_flight >= open_slots(record, homes, now):
-            return WORST_RANK
+    if not _has_open_slot(node, upstream, homes, in_flight, now):
+        return WORST_RANK
     if load is None:
         return (not homes, 0, 0)
     if in_flight >= len(homes) + SPARE_SLOTS or load.is_full(now):
--- a/chervilstep/warmth.py
+++ b/chervilstep/warmth.py
@@ -193,6 +193,10 @@
         until = self._asked_until.get(service)
         return until is not None and not until.has_passed(now)
 
+    def was_ever_asked(self, service: str) -> bool:
+        """Whether a peer was ever asked for ``service``."""
+        return service in self._asked_until
+
     def record(self, upstream: str) -> Warmth:
         """The belief about ``upstream``, created on first use."""
         found = self._records.get(upstream)
