--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 lint: venv ## Runs the formatter and the linters.
 	$(PY) -m ruff format --check .
 	$(PY) -m ruff check .
-	$(PY) -m flake8 chervilstep lab tests
+	$(PY) -m flake8 chervilstep lab tests tools
 
 types: venv ## Runs the type checker.
 	$(PY) -m mypy
@@ -35,6 +35,9 @@
 demo: venv ## Starts a small deployment and sends calls through it.
 	$(PY) -m lab demo
 
+binary: venv ## Builds the one file that is shipped, dist/chervilstep.
+	$(PY) -m tools.binary
+
 lock: ## Renews the lock file from pyproject.toml.
 	$(PY) -m piptools compile --quiet --extra dev --strip-extras --allow-unsafe --no-emit-index-url --no-emit-trusted-host --generate-hashes -o requirements.lock pyproject.toml
 
--- a/chervilstep/adapters/instance.py
+++ b/chervilstep/adapters/instance.py
@@ -19,7 +19,7 @@
 from chervilstep.adapters.prober import new_prober
 from chervilstep.adapters.sources import new_source
 from chervilstep.adapters.streams import split_address
-from chervilstep.adapters.ticker import start_ticks
+from chervilstep.adapters.ticker import new_ticker
 from chervilstep.hooks import FAREWELLS
 from chervilstep.node import Node, new_node
 from chervilstep.queries.locator import KEEP_SECONDS
@@ -27,6 +27,8 @@
 from chervilstep.settings import Settings
 from chervilstep.types import Deadline, Instant, new_deadline
 
+#: How long the leases of the customers' limits take to be handed over.
+HAND_OVER_SECONDS: Final = 10
 #: How long requests in flight may take to end during a planned stop.
 FINISH_SECONDS: Final = 30
 #: How often a stopping instance looks whether it may go.
@@ -56,6 +58,7 @@
         '_pool',
         '_stopping',
         '_tasks',
+        '_ticker',
     )
 
     def __init__(self, node: Node, clock: Callable[[], Instant]) -> None:
@@ -77,6 +80,7 @@
         self._admin = httpserver.HTTPServer(new_admin(node, clock))
         self._peers = new_peer_streams(node, clock)
         self._tasks: list[asyncio.Task[None]] = []
+        self._ticker = new_ticker(node, clock)
         self._stopping = asyncio.Event()
 
     @property
@@ -117,8 +121,11 @@
         await self._stopping.wait()
         _log.info('stopping', name=self._node.settings.name)
         self._farewell()
-        # Callers may still hold an answer that names this instance.
-        await self._outlast(new_deadline(self._clock(), KEEP_SECONDS))
+        # Callers may still hold an answer that names this instance, and its
+        # borrowers return their tokens before it can hand its leases over.
+        await self._outlast(
+            new_deadline(self._clock(), max(KEEP_SECONDS, HAND_OVER_SECONDS))
+        )
         self._entry.stop()
         await self._drain(new_deadline(self._clock(), FINISH_SECONDS))
         await self._close()
@@ -127,12 +134,18 @@
     def _start_tasks(self) -> None:
         loop = asyncio.get_running_loop()
         source = new_source(self._node)
-        self._tasks = start_ticks(self._node, self._clock)
+        self._ticker.start()
         self._tasks.append(loop.create_task(source.run()))
         self._tasks.append(loop.create_task(self._peers.run()))
         prober = new_prober(self._node, self._clock)
         self._tasks.append(loop.create_task(prober.run()))
 
+    async def _stop_tasks(self) -> None:
+        self._ticker.stop()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
     def _farewell(self) -> None:
         for command in FAREWELLS:
             command(self._node, self._clock())
@@ -152,9 +165,7 @@
         """Hands over what came back meanwhile, then ends everything."""
         self._farewell()
         await asyncio.sleep(STOP_POLL_SECONDS)
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._stop_tasks()
         self._peers.close()
         self._admin.stop()
         self._pool.close()
--- a/chervilstep/adapters/prober.py
+++ b/chervilstep/adapters/prober.py
@@ -16,7 +16,7 @@
 from chervilstep.types import Instant
 
 #: How often the plan is looked at.
-POLL_SECONDS: Final = 0.05
+POLL_SECONDS: Final = 0.25
 #: How long an upstream may take to answer a probe.
 PROBE_SECONDS: Final = 0.5
 #: Probes that wait for an answer at once.
--- a/chervilstep/commands/ramp.py
+++ b/chervilstep/commands/ramp.py
@@ -33,7 +33,7 @@
 #: After a slow answer a cold upstream rests this many times its latency.
 REST_FACTOR: Final = 5
 #: How often requests in flight are checked for being overdue.
-OVERDUE_PERIOD_SECONDS: Final = 0.02
+OVERDUE_PERIOD_SECONDS: Final = 0.1
 
 
 @ATTEMPT_ENDS.register(WARMTH_RANK)
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools that build what is shipped."""
