Keep one constant, one failure reader and commands that only command

Change: types.MS_PER_SECOND, streams.ignore_failure; whether a request is news and what is lent are queries, and the commands after them return nothing.

--- a/chervilstep/adapters/entry.py
+++ b/chervilstep/adapters/entry.py
@@ -10,6 +10,7 @@
 
 from tornado import http1connection, httputil, iostream
 
+from chervilstep.adapters.streams import ignore_failure
 from chervilstep.calls import Answer, Call, Reply
 from chervilstep.node import Node
 from chervilstep.queries import headers as header_rules
@@ -21,11 +22,10 @@
     KEY_IN_QUERY,
     Refusal,
 )
-from chervilstep.types import Deadline, Instant, new_deadline
+from chervilstep.types import MS_PER_SECOND, Deadline, Instant, new_deadline
 
 #: Where callers ask which entry instances to use.
 LOCATOR_PATH: Final = '/chervilstep/addresses'
-MS_PER_SECOND: Final = 1000
 
 _JSON: Final = ('Content-Type', 'application/json')
 
@@ -208,7 +208,7 @@
             )
         except iostream.StreamClosedError:
             return
-        written.add_done_callback(_ignore_failure)
+        written.add_done_callback(ignore_failure)
         self._connection.finish()
 
     def _refuse(self, refusal: Refusal) -> None:
@@ -277,12 +277,6 @@
     return method != 'HEAD' and answer.status not in {204, 304}
 
 
-def _ignore_failure(future: 'asyncio.Future[None]') -> None:
-    """Reads the failure of a write; the caller has gone."""
-    if not future.cancelled():
-        future.exception()
-
-
 def new_entry_front(
     node: Node,
     handle: Callable[[Call], Awaitable[Reply]],
--- a/chervilstep/adapters/peers.py
+++ b/chervilstep/adapters/peers.py
@@ -8,7 +8,7 @@
 from tornado import iostream, tcpserver
 
 from chervilstep.adapters import codec, handshake
-from chervilstep.adapters.streams import connect
+from chervilstep.adapters.streams import connect, ignore_failure
 from chervilstep.commands.membership import ALIVE_SECONDS, lose_peer
 from chervilstep.exceptions import PeerError
 from chervilstep.hooks import HANDLERS
@@ -207,13 +207,7 @@
         except (iostream.StreamClosedError, iostream.StreamBufferFullError):
             stream.close()
             return
-        written.add_done_callback(_ignore_failure)
-
-
-def _ignore_failure(future: 'asyncio.Future[None]') -> None:
-    """Reads the failure of a write; the reader notices the lost stream."""
-    if not future.cancelled():
-        future.exception()
+        written.add_done_callback(ignore_failure)
 
 
 def new_peer_streams(node: Node, clock: Callable[[], Instant]) -> PeerStreams:
--- a/chervilstep/adapters/platform.py
+++ b/chervilstep/adapters/platform.py
@@ -20,6 +20,7 @@
 from chervilstep.platform import PlatformAnswer, PlatformValue
 from chervilstep.queries.relaying import Duty, duty_of
 from chervilstep.queries.tables import is_address
+from chervilstep.types import MS_PER_SECOND
 
 SECTIONS_PREFIX: Final = 'config/'
 INSTANCES_PREFIX: Final = 'instances/'
@@ -46,7 +47,6 @@
     Duty.POLL: MAX_POLL_BACK_OFF_SECONDS,
 }
 MAX_ANSWER_BYTES: Final = 64 * 1024 * 1024
-MS_PER_SECOND: Final = 1000
 
 #: What the decoding of something malformed raises.
 DECODE_ERRORS: Final = (ValueError, LookupError, TypeError, AttributeError)
--- a/chervilstep/adapters/pool.py
+++ b/chervilstep/adapters/pool.py
@@ -8,7 +8,7 @@
 from tornado import http1connection, httputil, iostream
 
 from chervilstep.adapters.answering import AnswerReader
-from chervilstep.adapters.streams import connect
+from chervilstep.adapters.streams import connect, ignore_failure
 from chervilstep.calls import Answer, Attempt, Ending, Outcome
 from chervilstep.queries.headers import (
     ATTEMPT_HEADER,
@@ -16,7 +16,13 @@
     NOT_RUN_HEADER,
 )
 from chervilstep.settings import Settings
-from chervilstep.types import Deadline, Instant, Verdict, new_deadline
+from chervilstep.types import (
+    MS_PER_SECOND,
+    Deadline,
+    Instant,
+    Verdict,
+    new_deadline,
+)
 
 #: How long an unused connection is kept.
 IDLE_SECONDS: Final = 30
@@ -24,7 +30,6 @@
 MAX_IDLE_CONNECTIONS: Final = 16
 #: The longest time for opening a connection.
 CONNECT_SECONDS: Final = 1
-MS_PER_SECOND: Final = 1000
 
 _STATUS_SHED: Final = 503
 
@@ -171,7 +176,7 @@
         start = httputil.RequestStartLine(call.method, call.target, 'HTTP/1.1')
         written = http.write_headers(start, headers, call.body or None)
         # Reading tells of a lost connection; nobody awaits the write.
-        written.add_done_callback(_ignore_failure)
+        written.add_done_callback(ignore_failure)
         http.finish()
 
     def _conclude(
@@ -232,11 +237,6 @@
     return answer.status == _STATUS_SHED and reader.has_header(NOT_RUN_HEADER)
 
 
-def _ignore_failure(future: 'asyncio.Future[None]') -> None:
-    if not future.cancelled():
-        future.exception()
-
-
 def _do_nothing() -> None:
     """Receives the close of an idle stream; taking it skips closed ones."""
 
--- a/chervilstep/adapters/streams.py
+++ b/chervilstep/adapters/streams.py
@@ -1,5 +1,6 @@
 """Opens TCP streams to addresses that are IP numbers."""
 
+import asyncio
 import socket
 from typing import Any, final
 
@@ -26,6 +27,15 @@
     return stream
 
 
+def ignore_failure(future: 'asyncio.Future[None]') -> None:
+    """Reads the failure of a write that nobody awaits.
+
+    Whoever reads from the same stream notices that it was lost.
+    """
+    if not future.cancelled():
+        future.exception()
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Splits ``ip:port`` or ``[ip]:port`` into the host and the port."""
     host, _, port = address.rpartition(':')
--- a/chervilstep/commands/lending.py
+++ b/chervilstep/commands/lending.py
@@ -7,7 +7,6 @@
     LoanRequest,
     Need,
     Terms,
-    new_terms,
 )
 from chervilstep.loans import Capital, Loan
 from chervilstep.messages import Message
@@ -43,16 +42,20 @@
     news = [
         customer
         for customer in message.needs
-        if _is_news(node, customer, borrower, message.sequence)
+        if queries.is_news(node, customer, borrower, message.sequence)
     ]
     for customer in news:
+        node.shares.book.advance(customer, borrower, message.sequence)
         capital = queries.capital_of(node, customer, now)
         if capital is None:
             continue
         need = message.need(customer)
         _take_back(node, customer, capital, borrower, need, now)
         if not message.is_return:
-            lent = _lend(node, customer, capital, borrower, need, now)
+            lent = queries.terms_for(
+                node, customer, capital, borrower, need, now
+            )
+            _lend(node, customer, capital, borrower, need, lent, now)
             terms[customer] = lent.values
             seconds = min(seconds, capital.deadline.remaining(now))
     if terms:
@@ -60,17 +63,6 @@
         node.outbox.put(sender, offer)
 
 
-def _is_news(
-    node: Node, customer: str, borrower: Holder, sequence: int
-) -> bool:
-    """Notes a request; False when it is a copy or was overtaken."""
-    book = node.shares.book
-    if book.last_sequence(customer, borrower) >= sequence:
-        return False
-    book.advance(customer, borrower, sequence)
-    return True
-
-
 def _take_back(
     node: Node,
     customer: str,
@@ -96,14 +88,12 @@
     capital: Capital,
     borrower: Holder,
     need: Need,
+    terms: Terms,
     now: Instant,
-) -> Terms:
+) -> None:
     held = queries.live_loans(node, customer, now).get(
         borrower, queries.NO_LOAN
     )
-    terms = queries.terms_for(node, customer, capital, borrower, need, now)
-    if node.members.is_leaving:
-        terms = new_terms(0, held.burst, tokens=0, target=0, left=0)
     # The debit goes first; the borrower credits what arrives.
     node.shares.bucket(customer).spend(terms.tokens, now)
     loan = Loan(
@@ -115,4 +105,3 @@
     )
     node.shares.book.put(customer, borrower, loan)
     retain(node, customer, now)
-    return terms
--- a/chervilstep/queries/kinds.py
+++ b/chervilstep/queries/kinds.py
@@ -16,6 +16,7 @@
     UpstreamState,
     ZoneState,
 )
+from chervilstep.types import MS_PER_SECOND
 
 #: Reads the definitions of one kind from their table.
 KindParser: TypeAlias = Callable[[Table, SectionContent], None]
@@ -29,7 +30,6 @@
 MAX_TIMEOUT_MS: Final = 600_000
 MIN_RATE: Final = 0.001
 MAX_RATE: Final = 1e9
-MS_PER_SECOND: Final = 1000
 
 _METHOD: Final = re.compile('[A-Z]{1,16}')
 _PATH: Final = re.compile("/(?:[A-Za-z0-9._~!$&'()*+,;=:@-]+/)*")
--- a/chervilstep/queries/lending.py
+++ b/chervilstep/queries/lending.py
@@ -106,6 +106,11 @@
     )
 
 
+def is_news(node: Node, customer: str, borrower: Holder, sequence: int) -> bool:
+    """Whether a request is neither a copy nor was overtaken."""
+    return node.shares.book.last_sequence(customer, borrower) < sequence
+
+
 def terms_for(
     node: Node,
     customer: str,
@@ -116,6 +121,9 @@
 ) -> Terms:
     """What to lend to ``borrower`` from now on, in place of its loan."""
     held = live_loans(node, customer, now).get(borrower, NO_LOAN)
+    if node.members.is_leaving:
+        # A leaving holder lends nothing more; its borrowers return the rest.
+        return new_terms(0, held.burst, tokens=0, target=0, left=0)
     left = retained(node, customer, capital, now)
     share = _share_of(node, customer, need, held, now)
     target = capital.burst * share * LENT_BURST_PART
--- a/chervilstep/types.py
+++ b/chervilstep/types.py
@@ -1,7 +1,9 @@
 """The types that every part of chervilstep shares."""
 
 import enum
-from typing import TypeAlias, final
+from typing import Final, TypeAlias, final
+
+MS_PER_SECOND: Final = 1000
 
 #: A point on the monotonic clock of this process, in seconds.
 Instant: TypeAlias = float
