Rank upstreams for both slot policies by one function

Cause: home-slots and warm-least-in-flight ranked an upstream by two functions that differed only in how many requests are preferred and how many allowed. Change: both numbers are arguments of one function. Conclusion: behaviour as before; the tests of choice, sessions, warmth, cold start and shape pass, with the same goldens. The whole suite was not run again.

--- a/chervilstep/queries/policies.py
+++ b/chervilstep/queries/policies.py
@@ -85,7 +85,14 @@
     return _lowest(
         node,
         {
-            upstream: _rank(node, upstream, homes[upstream.name], now)
+            upstream: _rank(
+                node,
+                upstream,
+                homes[upstream.name],
+                now,
+                preferred=len(homes[upstream.name]),
+                most=len(homes[upstream.name]) + SPARE_SLOTS,
+            )
             for upstream in usable
         },
     )
@@ -105,7 +112,14 @@
     return _lowest(
         node,
         {
-            upstream: _warm_rank(node, upstream, homes[upstream.name], now)
+            upstream: _rank(
+                node,
+                upstream,
+                homes[upstream.name],
+                now,
+                preferred=upstream.slots,
+                most=upstream.slots,
+            )
             for upstream in usable
         },
     )
@@ -120,21 +134,6 @@
     )
 
 
-def _warm_rank(
-    node: Node, upstream: Upstream, homes: tuple[int, ...], now: Instant
-) -> Rank:
-    """Ranks an upstream, the lower the better; the worst takes nothing."""
-    in_flight = node.board.in_flight(upstream.name)
-    if not _has_open_slot(node, upstream, homes, in_flight, now):
-        return WORST_RANK
-    load = node.board.loads.get(upstream.name)
-    if load is None:
-        return (False, 0, 0)
-    if in_flight >= upstream.slots or load.is_full(now):
-        return WORST_RANK
-    return (False, in_flight, load.last_turn)
-
-
 def _has_open_slot(
     node: Node,
     upstream: Upstream,
@@ -149,18 +148,28 @@
 
 
 def _rank(
-    node: Node, upstream: Upstream, homes: tuple[int, ...], now: Instant
+    node: Node,
+    upstream: Upstream,
+    homes: tuple[int, ...],
+    now: Instant,
+    *,
+    preferred: int,
+    most: int,
 ) -> Rank:
-    """Ranks an upstream, the lower the better; the worst takes nothing."""
+    """Ranks an upstream, the lower the better; the worst takes nothing.
+
+    This instance sends up to ``preferred`` requests to an upstream before it
+    turns to others, and never more than ``most``.
+    """
     load = node.board.loads.get(upstream.name)
     in_flight = load.in_flight if load else 0
     if not _has_open_slot(node, upstream, homes, in_flight, now):
         return WORST_RANK
     if load is None:
-        return (not homes, 0, 0)
-    if in_flight >= len(homes) + SPARE_SLOTS or load.is_full(now):
+        return (preferred == 0, 0, 0)
+    if in_flight >= most or load.is_full(now):
         return WORST_RANK
-    return (in_flight >= len(homes), in_flight, load.last_turn)
+    return (in_flight >= preferred, in_flight, load.last_turn)
 
 
 def _reported(load: UpstreamLoad | None, now: Instant) -> int:
