Presume a service warm at a fleet's start also while a zone is withdrawn

Cause: the upstreams of a withdrawn zone are cooled at once, so a fleet that started then knew something of each service, presumed nothing warm, and would have warmed it by the calls of one instance for each upstream. Change: only upstreams in service decide, and only they are presumed warm. The comment no longer speaks of a limit that the default policy does not have. Before: test_a_start_presumes_the_upstreams_in_service_warm failed for the withdrawn zone. After: it passes, with the tests of warmth, choice, sessions, cold start and shape.

--- a/chervilstep/commands/review.py
+++ b/chervilstep/commands/review.py
@@ -8,6 +8,7 @@
 from chervilstep.node import Node
 from chervilstep.queries.homes import live_instances
 from chervilstep.queries.warmth import (
+    in_service,
     is_unknown,
     knows_nothing,
     out_of_service,
@@ -62,8 +63,7 @@
     """Takes a service for warm of which nobody asked knows anything.
 
     That is so when the whole fleet started. Its servers have been up for as
-    long as anyone knows; the limits of requests in flight start low and the
-    own outcomes find the cold ones. Ramping all of them at once, each by the
+    long as anyone knows, and the own outcomes find the cold ones. Ramping all of them at once, each by the
     calls of one instance, would refuse most calls for as long as it lasts.
     """
     for name in node.warmth.asked:
@@ -71,7 +71,7 @@
         if service is None or node.warmth.was_asked(name, now):
             continue
         if knows_nothing(node, service):
-            for upstream in service.upstreams:
+            for upstream in in_service(node, service):
                 node.warmth.record(upstream.name).presume_warm(now)
 
 
--- a/chervilstep/queries/warmth.py
+++ b/chervilstep/queries/warmth.py
@@ -149,24 +149,30 @@
 
 def is_unknown(node: Node, service: Service, now: Instant) -> bool:
     """Whether the belief about some usable upstream is missing or too old."""
-    snapshot = node.snapshot
     records = node.warmth.records
-    for upstream in service.upstreams:
+    for upstream in in_service(node, service):
         record = records.get(upstream.name)
         if record is None or not record.is_believed(now):
-            if not upstream.is_leaving and not snapshot.is_withdrawn(
-                upstream.zone
-            ):
-                return True
+            return True
     return False
 
 
 def knows_nothing(node: Node, service: Service) -> bool:
-    """Whether this instance never heard of any upstream of ``service``."""
+    """Whether this instance never heard of any usable upstream."""
     records = node.warmth.records
     return not any(
         upstream.name in records and records[upstream.name].is_known
+        for upstream in in_service(node, service)
+    )
+
+
+def in_service(node: Node, service: Service) -> tuple[Upstream, ...]:
+    """The upstreams that the operators let take new work."""
+    snapshot = node.snapshot
+    return tuple(
+        upstream
         for upstream in service.upstreams
+        if not upstream.is_leaving and not snapshot.is_withdrawn(upstream.zone)
     )
 
 
--- a/tests/test_warmth.py
+++ b/tests/test_warmth.py
@@ -4,7 +4,12 @@
 
 from chervilstep.calls import Ending
 from chervilstep.commands.ramp import judge_overdue
-from chervilstep.commands.review import learn_warmth, review_upstreams
+from chervilstep.commands.review import (
+    learn_services,
+    learn_warmth,
+    presume_warmth,
+    review_upstreams,
+)
 from chervilstep.commands.warmth_news import flush_news, hear_news
 from chervilstep.queries.choice import choose, has_any
 from chervilstep.queries.homes import depth, slot_homes
@@ -12,7 +17,13 @@
 from chervilstep.snapshot import ZoneState
 from chervilstep.warmth import WARM, Warmth
 from chervilstep.warmth_messages import WarmthAsk, WarmthNews
-from tests.builders import a_ticket
+from tests.builders import (
+    a_node,
+    a_service,
+    a_snapshot,
+    a_ticket,
+    an_upstream,
+)
 from tests.load_builders import (
     ENTRY_NAMES,
     FOREVER,
@@ -308,3 +319,17 @@
     node.members.leave()
     review_upstreams(node, 2)
     assert node.board.live == frozenset(('entry-3', 'entry-4'))
+
+
+@pytest.mark.parametrize('state', list(ZoneState))
+def test_a_start_presumes_the_upstreams_in_service_warm(state):
+    upstreams = [an_upstream('strike-1'), an_upstream('strike-2', 'ham')]
+    service = a_service(upstreams=upstreams)
+    zones = {'akl': ZoneState.IN_SERVICE, 'ham': state}
+    node = a_node(a_snapshot(zones=zones, services=[service]))
+    learn_services(node, 1)
+    review_upstreams(node, 1)
+    presume_warmth(node, 2)
+    is_in_service = state is ZoneState.IN_SERVICE
+    assert level_of(node, upstreams[0], 2) == WARM
+    assert (level_of(node, upstreams[1], 2) == WARM) is is_in_service
