Ask one query which upstreams are in service

Cause: the choice and the warmth each filtered leaving and withdrawn upstreams. Change: the choice calls in_service, and filters by attempts only on a retry.

--- a/chervilstep/queries/choice.py
+++ b/chervilstep/queries/choice.py
@@ -3,6 +3,7 @@
 from chervilstep.hooks import POLICIES
 from chervilstep.node import Node
 from chervilstep.queries import policies
+from chervilstep.queries.warmth import in_service
 from chervilstep.snapshot import Service, Upstream
 from chervilstep.types import Instant
 
@@ -34,11 +35,9 @@
     node: Node, service: Service, tried: frozenset[str]
 ) -> tuple[Upstream, ...]:
     """The upstreams that may get new work and were not tried."""
-    snapshot = node.snapshot
+    candidates = in_service(node, service)
+    if not tried:
+        return candidates
     return tuple(
-        upstream
-        for upstream in service.upstreams
-        if upstream.name not in tried
-        and not upstream.is_leaving
-        and not snapshot.is_withdrawn(upstream.zone)
+        upstream for upstream in candidates if upstream.name not in tried
     )
