--- a/chervilstep/adapters/answering.py
+++ b/chervilstep/adapters/answering.py
@@ -1,5 +1,6 @@
 """Reads one HTTP answer of an upstream and tells whether it is whole."""
 
+import re
 from typing import Final, final
 
 from tornado import httputil
@@ -8,15 +9,16 @@
 from chervilstep.queries.headers import answer_headers
 
 #: Statuses whose answers have no body and so no length.
+_TIMEOUT: Final = re.compile(r'timeout=(\d+)')
 _STATUSES_WITHOUT_BODY: Final = frozenset((204, 304))
 
 
 @final
 class AnswerReader(httputil.HTTPMessageDelegate):
-    """Collects one answer; a body without a stated length is not whole.
+    """Collects one answer and tells whether it is whole.
 
-    A body that ends when the connection closes cannot be told from one that
-    was cut, so such an answer never reaches a caller.
+    A body without a stated length ends with its connection; whoever reads it
+    has to check that the connection was closed and not reset.
     """
 
     __slots__ = (
@@ -25,6 +27,7 @@
         '_headers',
         '_is_finished',
         '_is_head',
+        '_is_reusable',
         '_start_line',
     )
 
@@ -36,6 +39,18 @@
         self._headers = httputil.HTTPHeaders()
         self._start_line: httputil.ResponseStartLine | None = None
         self._is_finished = False
+        self._is_reusable = True
+
+    @property
+    def header_map(self) -> httputil.HTTPHeaders:
+        """The headers by name, without regard to case."""
+        return self._headers
+
+    @property
+    def kept_seconds(self) -> float | None:
+        """How long the upstream keeps the connection, if it says so."""
+        found = _TIMEOUT.search(self._headers.get('Keep-Alive', ''))
+        return float(found.group(1)) if found else None
 
     @property
     def has_head(self) -> bool:
@@ -53,17 +68,27 @@
         """Whether the connection can carry another request."""
         connection = self._headers.get('Connection', '').lower()
         start = self._start_line
+        if start is None or not self._is_reusable or not self.has_length:
+            return False
+        return start.version == 'HTTP/1.1' and connection != 'close'
+
+    @property
+    def has_length(self) -> bool:
+        """Whether the body ends before the connection does."""
+        if self._is_head:
+            return True
+        if self._start_line and self._start_line.code in _STATUSES_WITHOUT_BODY:
+            return True
         return (
-            start is not None
-            and start.version == 'HTTP/1.1'
-            and connection != 'close'
+            'Content-Length' in self._headers
+            or 'Transfer-Encoding' in self._headers
         )
 
     @property
     def answer(self) -> Answer | None:
         """The whole answer, or None while anything is missing."""
         start = self._start_line
-        if start is None or not self._is_finished or not self._has_length():
+        if start is None or not self._is_finished:
             return None
         return Answer(
             start.code,
@@ -72,6 +97,10 @@
             b''.join(self._chunks),
         )
 
+    def forbid_reuse(self) -> None:
+        """Notes that the connection must carry no other request."""
+        self._is_reusable = False
+
     def has_header(self, name: str) -> bool:
         """Whether the answer carries the header ``name``."""
         return name in self._headers
@@ -103,13 +132,3 @@
                 ('Content-Length', self._headers['Content-Length']),
             )
         return headers
-
-    def _has_length(self) -> bool:
-        if self._is_head:
-            return True
-        if self._start_line and self._start_line.code in _STATUSES_WITHOUT_BODY:
-            return True
-        return (
-            'Content-Length' in self._headers
-            or 'Transfer-Encoding' in self._headers
-        )
--- a/chervilstep/adapters/dispatcher.py
+++ b/chervilstep/adapters/dispatcher.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable, Coroutine
 from functools import partial
-from typing import Final, Protocol, TypeAlias, final
+from typing import Protocol, TypeAlias, final
 
 from chervilstep.adapters.racing import new_race
 from chervilstep.calls import Attempt, Call, Ending, Outcome, Reply, Ticket
@@ -17,17 +17,13 @@
     hedging,
     queueing,
     retrying,
-    shares,
 )
 from chervilstep.queries.attempting import new_attempt
 from chervilstep.refusals import QUEUE_FULL, Refusal
-from chervilstep.snapshot import Upstream
+from chervilstep.services import Upstream
 from chervilstep.types import Instant, Verdict
 from chervilstep.waiting import Turn, Waiter
 
-#: The pauses before a call that lacks a token is tried again. The first ones
-#: cover a round trip between instances, all of them one to each lender.
-TOKEN_PAUSES_SECONDS: Final = (0.003, 0.005, 0.008, 0.012)
 #: Tells the time in monotonic seconds.
 Clock: TypeAlias = Callable[[], Instant]
 #: Resolves to what a waiting call gets.
@@ -62,7 +58,7 @@
 
     async def handle(self, call: Call) -> Reply:
         """Returns the answer to a call, or why there is none."""
-        ticket = await self._admit(call)
+        ticket = self._admit(call)
         if isinstance(ticket, Refusal):
             replying.record_refusal(self._node, ticket)
             return ticket
@@ -88,19 +84,7 @@
         if wake_at is not None:
             self._wake_by(wake_at)
 
-    async def _admit(self, call: Call) -> Ticket | Refusal:
-        """Charges the call, once the token that it lacks has arrived."""
-        ticket = self._try_to_admit(call)
-        for pause in TOKEN_PAUSES_SECONDS:
-            if not isinstance(ticket, Refusal):
-                break
-            if not shares.may_wait(self._node, call, ticket, self._clock()):
-                break
-            await asyncio.sleep(pause)
-            ticket = self._try_to_admit(call)
-        return ticket
-
-    def _try_to_admit(self, call: Call) -> Ticket | Refusal:
+    def _admit(self, call: Call) -> Ticket | Refusal:
         now = self._clock()
         ticket = admission.admit(self._node, call, now)
         if isinstance(ticket, Refusal):
@@ -114,7 +98,7 @@
         while reply is None:
             attempt = await self._acquire(progress)
             if isinstance(attempt, Refusal):
-                return retrying.refusal_while_waiting(progress, attempt)
+                return retrying.reply_while_waiting(progress, attempt)
             outcome = await self._send_hedged(progress, attempt)
             reply = self._conclude(progress, outcome)
         return reply
@@ -123,7 +107,9 @@
         now = self._clock()
         reply = retrying.reply_after(self._node, progress, outcome, now)
         if reply is None:
-            budget.spend(self._node, now, 'retry')
+            budget.spend(
+                self._node, progress.ticket.route.service, now, 'retry'
+            )
         return reply
 
     async def _acquire(self, progress: Progress) -> Attempt | Refusal:
@@ -190,7 +176,7 @@
         upstream = hedging.hedge_upstream(self._node, progress, now)
         if upstream is None:
             return None
-        budget.spend(self._node, now, 'hedge')
+        budget.spend(self._node, progress.ticket.route.service, now, 'hedge')
         return self._send(progress, self._start(progress, upstream, now))
 
     async def _send(self, progress: Progress, attempt: Attempt) -> Outcome:
--- a/chervilstep/adapters/instance.py
+++ b/chervilstep/adapters/instance.py
@@ -8,38 +8,24 @@
 from typing import Final, final
 
 import structlog
-from tornado import httpserver
 
-from chervilstep.adapters.admin import new_admin
 from chervilstep.adapters.capabilities import load_capabilities
 from chervilstep.adapters.dispatcher import new_dispatcher
-from chervilstep.adapters.entry import EntryFront, new_entry_front
+from chervilstep.adapters.edge import EDGES, Edge
+from chervilstep.adapters.eventlog import new_event_log
 from chervilstep.adapters.peers import PeerStreams, new_peer_streams
 from chervilstep.adapters.pool import HttpPool, new_pool
-from chervilstep.adapters.prober import new_prober
-from chervilstep.adapters.sources import new_source
+from chervilstep.adapters.runners import new_runners
 from chervilstep.adapters.streams import split_address
 from chervilstep.adapters.ticker import new_ticker
 from chervilstep.hooks import FAREWELLS
 from chervilstep.node import Node, new_node
-from chervilstep.queries.locator import KEEP_SECONDS
 from chervilstep.queries.trust import is_trusted
 from chervilstep.settings import Settings
 from chervilstep.types import Deadline, Instant, new_deadline
 
-#: How long the leases of the customers' limits take to be handed over.
-HAND_OVER_SECONDS: Final = 10
-#: How long requests in flight may take to end during a planned stop.
-FINISH_SECONDS: Final = 30
 #: How often a stopping instance looks whether it may go.
 STOP_POLL_SECONDS: Final = 0.05
-#: The largest body that is read in order to be thrown away.
-DISCARD_LIMIT_BYTES: Final = 64 * 1024 * 1024
-IDLE_CONNECTION_SECONDS: Final = 600
-BODY_SECONDS: Final = 30
-#: Heads above the limit of the settings, up to this many times, are read so
-#: that they can be refused with a reason.
-HEADER_GRACE: Final = 4
 
 _log = structlog.get_logger()
 
@@ -49,10 +35,9 @@
     """One entry instance with everything that it runs on the loop."""
 
     __slots__ = (
-        '_admin',
         '_clock',
-        '_entry',
-        '_front',
+        '_edge',
+        '_events',
         '_node',
         '_peers',
         '_pool',
@@ -69,15 +54,9 @@
             node.settings, clock, functools.partial(is_trusted, node)
         )
         dispatcher = new_dispatcher(node, self._pool, clock)
-        self._front = new_entry_front(node, dispatcher.handle, clock)
-        self._entry = httpserver.HTTPServer(
-            self._front,
-            idle_connection_timeout=IDLE_CONNECTION_SECONDS,
-            body_timeout=BODY_SECONDS,
-            max_header_size=HEADER_GRACE * node.settings.header_limit_bytes,
-            max_body_size=DISCARD_LIMIT_BYTES,
-        )
-        self._admin = httpserver.HTTPServer(new_admin(node, clock))
+        new_edge = EDGES.find(node.settings.edge)
+        self._edge = new_edge(node, dispatcher.handle, clock)
+        self._events = new_event_log(node)
         self._peers = new_peer_streams(node, clock)
         self._tasks: list[asyncio.Task[None]] = []
         self._ticker = new_ticker(node, clock)
@@ -89,9 +68,9 @@
         return self._node
 
     @property
-    def front(self) -> EntryFront:
+    def edge(self) -> Edge:
         """The front end for callers."""
-        return self._front
+        return self._edge
 
     @property
     def peers(self) -> PeerStreams:
@@ -106,9 +85,9 @@
     def start(self) -> None:
         """Listens and starts every task."""
         settings = self._node.settings
-        _listen(self._admin, settings.admin_address)
-        _listen(self._peers, settings.peer_address)
-        _listen(self._entry, settings.entry_address)
+        host, port = split_address(settings.peer_address)
+        self._peers.listen(port, host)
+        self._edge.listen()
         self._start_tasks()
         _log.info('started', name=settings.name, zone=settings.zone)
 
@@ -121,24 +100,24 @@
         await self._stopping.wait()
         _log.info('stopping', name=self._node.settings.name)
         self._farewell()
-        # Callers may still hold an answer that names this instance, and its
-        # borrowers return their tokens before it can hand its leases over.
+        # Callers may still hold an answer that names this instance.
+        stopping = self._node.settings.stopping
         await self._outlast(
-            new_deadline(self._clock(), max(KEEP_SECONDS, HAND_OVER_SECONDS))
+            new_deadline(self._clock(), stopping.outlast_seconds)
         )
-        self._entry.stop()
-        await self._drain(new_deadline(self._clock(), FINISH_SECONDS))
+        self._edge.stop()
+        await self._drain(new_deadline(self._clock(), stopping.finish_seconds))
         await self._close()
         _log.info('stopped', name=self._node.settings.name)
 
     def _start_tasks(self) -> None:
         loop = asyncio.get_running_loop()
-        source = new_source(self._node)
         self._ticker.start()
-        self._tasks.append(loop.create_task(source.run()))
-        self._tasks.append(loop.create_task(self._peers.run()))
-        prober = new_prober(self._node, self._clock)
-        self._tasks.append(loop.create_task(prober.run()))
+        self._events.start()
+        runners = new_runners(self._node, self._clock)
+        self._tasks.extend(
+            loop.create_task(runner.run()) for runner in (*runners, self._peers)
+        )
 
     async def _stop_tasks(self) -> None:
         self._ticker.stop()
@@ -149,6 +128,7 @@
     def _farewell(self) -> None:
         for command in FAREWELLS:
             command(self._node, self._clock())
+        self._edge.leave()
         self._peers.flush()
 
     async def _outlast(self, deadline: Deadline) -> None:
@@ -156,7 +136,7 @@
             await asyncio.sleep(STOP_POLL_SECONDS)
 
     async def _drain(self, deadline: Deadline) -> None:
-        while self._front.in_flight:
+        while self._edge.in_flight:
             if deadline.has_passed(self._clock()):
                 return
             await asyncio.sleep(STOP_POLL_SECONDS)
@@ -167,27 +147,31 @@
         await asyncio.sleep(STOP_POLL_SECONDS)
         await self._stop_tasks()
         self._peers.close()
-        self._admin.stop()
         self._pool.close()
-        await self._entry.close_all_connections()
+        await self._edge.close()
+        self._events.stop()
 
 
 def new_instance(settings: Settings) -> RunningInstance:
-    """Builds an instance with these settings."""
+    """Builds an instance with these settings and every capability."""
     load_capabilities()
     return RunningInstance(new_node(settings), time.monotonic)
 
 
+def new_bare_instance(settings: Settings) -> RunningInstance:
+    """Builds an instance with the capabilities that were loaded."""
+    return RunningInstance(new_node(settings), time.monotonic)
+
+
 async def serve_until_signalled(settings: Settings) -> None:
     """Runs an instance until SIGTERM or SIGINT, then stops it in order."""
-    instance = new_instance(settings)
+    await serve_instance(new_instance(settings))
+
+
+async def serve_instance(instance: RunningInstance) -> None:
+    """Runs an instance until SIGTERM or SIGINT, then stops it in order."""
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, instance.request_stop)
     instance.start()
     await instance.serve()
-
-
-def _listen(server: httpserver.HTTPServer | PeerStreams, address: str) -> None:
-    host, port = split_address(address)
-    server.listen(port, host)
--- a/chervilstep/adapters/journal.py
+++ b/chervilstep/adapters/journal.py
@@ -17,6 +17,6 @@
             structlog.processors.format_exc_info,
             structlog.processors.JSONRenderer(),
         ],
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(sys.stdout),
         cache_logger_on_first_use=True,
     )
--- /dev/null
+++ b/chervilstep/adapters/kept.py
@@ -0,0 +1,103 @@
+"""Sends one GET after the other over a connection that is kept."""
+
+import asyncio
+from typing import Final, final
+
+from tornado import http1connection, httputil, iostream
+
+from chervilstep.adapters.answering import AnswerReader
+from chervilstep.adapters.streams import connect, ignore_failure, keep_alive
+from chervilstep.calls import Answer
+from chervilstep.exceptions import FetchError
+
+MAX_HEAD_BYTES: Final = 16 * 1024
+
+
+@final
+class Fetched:
+    """A whole answer with its headers by name."""
+
+    __slots__ = ('_answer', '_headers')
+
+    def __init__(self, answer: Answer, headers: httputil.HTTPHeaders) -> None:
+        """Creates what was fetched."""
+        self._answer = answer
+        self._headers = headers
+
+    @property
+    def status(self) -> int:
+        """The HTTP status."""
+        return self._answer.status
+
+    @property
+    def body(self) -> bytes:
+        """The whole body."""
+        return self._answer.body
+
+    @property
+    def headers(self) -> httputil.HTTPHeaders:
+        """The headers, without regard to case."""
+        return self._headers
+
+
+@final
+class KeptClient:
+    """A client of one address with at most one connection."""
+
+    __slots__ = ('_address', '_params', '_stream')
+
+    def __init__(self, address: str, max_body_bytes: int) -> None:
+        """Creates a client of ``ip:port`` without a connection."""
+        self._address = address
+        self._stream: iostream.IOStream | None = None
+        self._params = http1connection.HTTP1ConnectionParameters(
+            max_header_size=MAX_HEAD_BYTES, max_body_size=max_body_bytes
+        )
+
+    async def get(self, target: str, seconds: float) -> Fetched:
+        """Fetches ``target`` within ``seconds``.
+
+        Raises:
+            FetchError: There was no whole answer in time.
+        """
+        try:
+            async with asyncio.timeout(seconds):
+                fetched = await self._exchange(target)
+        except (OSError, iostream.StreamClosedError) as fault:
+            self.close()
+            raise FetchError(type(fault).__name__) from fault
+        except BaseException:
+            self.close()
+            raise
+        if fetched is None:
+            self.close()
+            raise FetchError('no whole answer')
+        return fetched
+
+    def close(self) -> None:
+        """Closes the connection."""
+        if self._stream is not None:
+            self._stream.close()
+            self._stream = None
+
+    async def _exchange(self, target: str) -> Fetched | None:
+        stream = await self._open()
+        http = http1connection.HTTP1Connection(stream, True, self._params)
+        headers = httputil.HTTPHeaders({'Host': self._address})
+        start = httputil.RequestStartLine('GET', target, 'HTTP/1.1')
+        written = http.write_headers(start, headers)
+        written.add_done_callback(ignore_failure)
+        http.finish()
+        reader = AnswerReader('GET', self._params.max_body_size or 0)
+        await http.read_response(reader)
+        answer = reader.answer
+        if not reader.keeps_alive:
+            self.close()
+        return None if answer is None else Fetched(answer, reader.header_map)
+
+    async def _open(self) -> iostream.IOStream:
+        if self._stream is None or self._stream.closed():
+            self._stream = await connect(self._address)
+            # An answer may be due on a connection that has gone silent.
+            keep_alive(self._stream.socket)
+        return self._stream
--- a/chervilstep/adapters/peers.py
+++ b/chervilstep/adapters/peers.py
@@ -8,12 +8,18 @@
 from tornado import iostream, tcpserver
 
 from chervilstep.adapters import codec, handshake
-from chervilstep.adapters.streams import connect, ignore_failure
+from chervilstep.adapters.streams import (
+    connect,
+    ignore_failure,
+    keep_alive,
+)
+from chervilstep.commands import gossip as gossip_commands
 from chervilstep.commands.membership import ALIVE_SECONDS, lose_peer
 from chervilstep.exceptions import PeerError
 from chervilstep.hooks import HANDLERS
 from chervilstep.messages import EVERY_PEER, Letter
 from chervilstep.node import Node
+from chervilstep.queries.gossip import peer_address_of, sought
 from chervilstep.queries.overlay import dials, neighbours
 from chervilstep.types import Instant
 
@@ -104,25 +110,30 @@
             self._node.counters.add('peer_handshakes_refused')
             stream.close()
             return
-        await self._converse(name, stream)
+        await self._converse(name, stream, name)
 
     def _reconcile(self) -> None:
-        wanted = neighbours(self._node.members)
+        strangers = self._strangers()
+        wanted = neighbours(self._node.members) | strangers
         own_name = self._node.settings.name
-        for name in wanted:
-            # A seed that does not know of this instance will not dial it.
-            is_seed = not self._node.members.revision
-            must_dial = is_seed or dials(own_name, name)
-            if must_dial and name not in self._dialling:
+        for name in wanted - set(self._dialling) - set(self._streams):
+            if name in strangers or dials(own_name, name):
                 self._dialling[name] = asyncio.create_task(self._dial(name))
-        for name in set(self._dialling) - wanted:
-            self._dialling.pop(name).cancel()
+        for unwanted in set(self._dialling) - wanted - set(self._streams):
+            self._dialling.pop(unwanted).cancel()
+
+    def _strangers(self) -> frozenset[str]:
+        """Whoever does not know of this instance, and will not dial it."""
+        members = self._node.members
+        if members.revision or members.standings:
+            return sought(self._node, self._clock())
+        return neighbours(members)
 
     async def _dial(self, name: str) -> None:
         """Keeps a stream to ``name`` until cancelled."""
         pause = MIN_BACK_OFF_SECONDS
         while True:
-            if await self._dial_once(name):
+            if name in self._streams or await self._dial_once(name):
                 pause = MIN_BACK_OFF_SECONDS
             jitter = self._node.rng.uniform(0, pause)
             await asyncio.sleep(pause + jitter)
@@ -130,14 +141,14 @@
 
     async def _dial_once(self, name: str) -> bool:
         """Dials and converses; False when no stream came about."""
-        instance = self._node.members.listed.get(name)
-        if instance is None:
+        address = peer_address_of(self._node, name)
+        if address is None:
             return False
         stream: iostream.IOStream | None = None
         settings = self._node.settings
         try:
             async with asyncio.timeout(HANDSHAKE_SECONDS):
-                stream = await connect(instance.peer_address)
+                stream = await connect(address)
                 await handshake.greet(
                     stream, settings.peer_secret, settings.name, name
                 )
@@ -149,17 +160,22 @@
             if stream is not None:
                 stream.close()
             return False
-        await self._converse(name, stream)
+        await self._converse(name, stream, self._node.settings.name)
         return True
 
-    async def _converse(self, name: str, stream: iostream.IOStream) -> None:
-        """Handles what ``name`` sends until the stream ends."""
-        former = self._streams.get(name)
-        if former is not None:
-            former.close()
-        self._streams[name] = stream
-        self._node.counters.add('peer_streams_opened')
-        _log.info('peer_connected', peer=name)
+    async def _converse(
+        self, name: str, stream: iostream.IOStream, dialler: str
+    ) -> None:
+        """Handles what ``name`` sends until the stream ends.
+
+        Of two streams that both ends opened at the same moment, both keep
+        the one of the same dialler.
+        """
+        if self._is_surplus(name, dialler):
+            stream.close()
+            return
+        self.drop(name)
+        self._open(name, stream)
         try:
             await self._read_all(name, stream)
         except (iostream.StreamClosedError, TimeoutError):
@@ -170,6 +186,19 @@
         finally:
             self._forget(name, stream)
 
+    def _is_surplus(self, name: str, dialler: str) -> bool:
+        former = self._streams.get(name)
+        if former is None or former.closed():
+            return False
+        return dialler > min(name, self._node.settings.name)
+
+    def _open(self, name: str, stream: iostream.IOStream) -> None:
+        keep_alive(stream.socket)
+        self._streams[name] = stream
+        self._node.counters.add('peer_streams_opened')
+        gossip_commands.greet(self._node, name)
+        _log.info('peer_connected', peer=name)
+
     async def _read_all(self, name: str, stream: iostream.IOStream) -> None:
         while True:
             async with asyncio.timeout(ALIVE_SECONDS):
@@ -184,6 +213,7 @@
         if self._streams.get(name) is stream:
             self._streams.pop(name)
             lose_peer(self._node, name)
+            gossip_commands.suspect(self._node, name, self._clock())
             _log.info('peer_lost', peer=name)
 
     def _deliver(self, letter: Letter) -> None:
--- a/chervilstep/adapters/platform.py
+++ b/chervilstep/adapters/platform.py
@@ -17,10 +17,10 @@
 from chervilstep.exceptions import PlatformError
 from chervilstep.members import Instance, InstanceState
 from chervilstep.node import Node
-from chervilstep.platform import PlatformAnswer, PlatformValue
 from chervilstep.queries.relaying import Duty, duty_of
 from chervilstep.queries.tables import is_address
 from chervilstep.types import MS_PER_SECOND
+from chervilstep.values import PlatformAnswer, PlatformValue
 
 SECTIONS_PREFIX: Final = 'config/'
 INSTANCES_PREFIX: Final = 'instances/'
--- a/chervilstep/adapters/pool.py
+++ b/chervilstep/adapters/pool.py
@@ -8,31 +8,30 @@
 from tornado import http1connection, httputil, iostream
 
 from chervilstep.adapters.answering import AnswerReader
-from chervilstep.adapters.streams import connect, ignore_failure
-from chervilstep.calls import Answer, Attempt, Ending, Outcome
-from chervilstep.queries.headers import (
-    ATTEMPT_HEADER,
-    DEADLINE_HEADER,
-    NOT_RUN_HEADER,
+from chervilstep.adapters.dialect import new_dialect
+from chervilstep.adapters.streams import (
+    CountedStream,
+    connect,
+    ignore_failure,
+    keep_alive,
 )
+from chervilstep.calls import Attempt, Ending, Outcome
 from chervilstep.settings import Settings
-from chervilstep.types import (
-    MS_PER_SECOND,
-    Deadline,
-    Instant,
-    Verdict,
-    new_deadline,
-)
+from chervilstep.types import Deadline, Instant, Verdict, new_deadline
 
 #: How long an unused connection is kept.
 IDLE_SECONDS: Final = 30
-#: How many unused connections are kept for one upstream.
-MAX_IDLE_CONNECTIONS: Final = 16
+#: How many unused connections are kept for one upstream; all instances
+#: together stay below what an upstream accepts.
+MAX_IDLE_CONNECTIONS: Final = 6
+#: A connection is not used in the last part of the time that the upstream
+#: keeps it, which is when the upstream may be closing it.
+IDLE_MARGIN: Final = 0.6
+#: Answers to other requests that are skipped before the own one.
+MAX_STRAY_ANSWERS: Final = 2
 #: The longest time for opening a connection.
 CONNECT_SECONDS: Final = 1
 
-_STATUS_SHED: Final = 503
-
 
 @final
 class Connection:
@@ -40,14 +39,14 @@
 
     __slots__ = ('_idle_until', '_opened_at', '_stream')
 
-    def __init__(self, stream: iostream.IOStream, opened_at: Instant) -> None:
+    def __init__(self, stream: CountedStream, opened_at: Instant) -> None:
         """Wraps a connected stream."""
         self._stream = stream
         self._opened_at = opened_at
         self._idle_until = new_deadline(opened_at, IDLE_SECONDS)
 
     @property
-    def stream(self) -> iostream.IOStream:
+    def stream(self) -> CountedStream:
         """The connected stream."""
         return self._stream
 
@@ -61,9 +60,15 @@
         """When the connection has been unused for too long."""
         return self._idle_until
 
-    def park(self, now: Instant) -> None:
-        """Starts the time of being unused."""
-        self._idle_until = new_deadline(now, IDLE_SECONDS)
+    def park(self, now: Instant, kept_seconds: float | None) -> None:
+        """Starts the time of being unused.
+
+        ``kept_seconds`` is how long the upstream says that it waits.
+        """
+        seconds: float = IDLE_SECONDS
+        if kept_seconds is not None:
+            seconds = min(seconds, IDLE_MARGIN * kept_seconds)
+        self._idle_until = new_deadline(now, seconds)
 
 
 @final
@@ -77,6 +82,7 @@
     __slots__ = (
         '_body_limit_bytes',
         '_clock',
+        '_dialect',
         '_idle',
         '_is_trusted',
         '_params',
@@ -94,6 +100,7 @@
         whether a kept connection may still be used.
         """
         self._clock = clock
+        self._dialect = new_dialect(settings.dialect)
         self._is_trusted = is_trusted
         self._body_limit_bytes = settings.body_limit_bytes
         self._idle: dict[str, deque[Connection]] = {}
@@ -135,6 +142,7 @@
                 stream = await connect(attempt.upstream.address)
         except (OSError, iostream.StreamClosedError):
             return None
+        keep_alive(stream.socket)
         return Connection(stream, self._clock())
 
     async def _exchange(
@@ -143,56 +151,89 @@
         stream = connection.stream
         if stream.closed():
             return self._failed(Ending.LOST_BEFORE_WRITE, Verdict.NOT_RUN)
-        reader = AnswerReader(
-            attempt.ticket.call.method, self._body_limit_bytes
-        )
         http = http1connection.HTTP1Connection(stream, True, self._params)
+        reader = self._new_reader(attempt)
         try:
             async with asyncio.timeout(
                 attempt.deadline.remaining(self._clock())
             ):
-                self._write(http, attempt)
-                await http.read_response(reader)
+                written = self._write(http, attempt)
+                reader = await self._read(http, attempt, reader, stream)
         except TimeoutError:
             stream.close()
             return self._failed(Ending.TIMED_OUT, Verdict.MAY_HAVE_RUN)
         except (iostream.StreamClosedError, iostream.UnsatisfiableReadError):
             stream.close()
             return self._incomplete(reader)
+        if not written.done():
+            # The rest of a body that was answered early is still due.
+            reader.forbid_reuse()
         return self._conclude(attempt, connection, reader)
 
+    async def _read(
+        self,
+        http: http1connection.HTTP1Connection,
+        attempt: Attempt,
+        reader: AnswerReader,
+        stream: CountedStream,
+    ) -> AnswerReader:
+        """Reads until the answer of the attempt; strays belong to no one."""
+        for _ in range(MAX_STRAY_ANSWERS):
+            await http.read_response(reader)
+            if self._dialect.belongs(attempt, reader.header_map):
+                return reader
+            http = http1connection.HTTP1Connection(stream, True, self._params)
+            reader = self._new_reader(attempt)
+            reader.forbid_reuse()
+        await http.read_response(reader)
+        if not self._dialect.belongs(attempt, reader.header_map):
+            raise iostream.StreamClosedError
+        return reader
+
+    def _new_reader(self, attempt: Attempt) -> AnswerReader:
+        return AnswerReader(attempt.ticket.call.method, self._body_limit_bytes)
+
     def _write(
         self, http: http1connection.HTTP1Connection, attempt: Attempt
-    ) -> None:
+    ) -> 'asyncio.Future[None]':
         call = attempt.ticket.call
         headers = httputil.HTTPHeaders()
         for name, text in call.headers:
             headers.add(name, text)
         if call.body or call.method in {'POST', 'PUT', 'PATCH'}:
             headers['Content-Length'] = str(len(call.body))
-        remaining = attempt.deadline.remaining(self._clock())
-        headers[DEADLINE_HEADER] = str(int(remaining * MS_PER_SECOND))
-        headers[ATTEMPT_HEADER] = str(attempt.number)
+        for name, text in self._dialect.request_headers(attempt, self._clock()):
+            headers[name] = text
         start = httputil.RequestStartLine(call.method, call.target, 'HTTP/1.1')
         written = http.write_headers(start, headers, call.body or None)
         # Reading tells of a lost connection; nobody awaits the write.
         written.add_done_callback(ignore_failure)
         http.finish()
+        return written
 
     def _conclude(
         self, attempt: Attempt, connection: Connection, reader: AnswerReader
     ) -> Outcome:
         answer = reader.answer
-        if answer is None:
+        if answer is None or not self._is_whole(connection, reader):
             connection.stream.close()
             return self._incomplete(reader)
         if reader.keeps_alive:
-            self._park(attempt.upstream.name, connection)
+            self._park(attempt.upstream.name, connection, reader.kept_seconds)
         else:
             connection.stream.close()
-        if _says_not_run(answer, reader):
-            return self._failed(Ending.SHED, Verdict.NOT_RUN)
-        return Outcome(Ending.ANSWERED, Verdict.RAN, self._clock(), answer)
+        now = self._clock()
+        report = self._dialect.report(reader.header_map, now)
+        refusal = self._dialect.refusal(answer, reader)
+        if refusal is not None:
+            return Outcome(refusal, Verdict.NOT_RUN, now, report=report)
+        return Outcome(Ending.ANSWERED, Verdict.RAN, now, answer, report)
+
+    def _is_whole(self, connection: Connection, reader: AnswerReader) -> bool:
+        if reader.has_length:
+            return True
+        was_reset = connection.stream.error is not None
+        return self._dialect.takes_unframed and not was_reset
 
     def _incomplete(self, reader: AnswerReader) -> Outcome:
         if reader.is_too_large:
@@ -212,31 +253,40 @@
             connection = connections.pop()
             stream = connection.stream
             stream.set_close_callback(None)
-            if stream.closed():
-                continue
-            is_fresh = not connection.idle_until.has_passed(now)
-            if is_fresh and self._is_trusted(name, connection.opened_at):
+            if self._is_usable(name, connection, now):
                 return connection
             stream.close()
         return None
 
-    def _park(self, name: str, connection: Connection) -> None:
+    def _is_usable(
+        self, name: str, connection: Connection, now: Instant
+    ) -> bool:
+        stream = connection.stream
+        # Whatever came unasked makes what follows unreadable.
+        if stream.closed() or stream.has_unread_bytes:
+            return False
+        if connection.idle_until.has_passed(now):
+            return False
+        return self._is_trusted(name, connection.opened_at)
+
+    def _park(
+        self, name: str, connection: Connection, kept_seconds: float | None
+    ) -> None:
         stream = connection.stream
         if stream.closed():
             return
+        if stream.has_unread_bytes:
+            stream.close()
+            return
         connections = self._idle.setdefault(name, deque())
         if len(connections) >= MAX_IDLE_CONNECTIONS:
             connections.popleft().stream.close()
-        connection.park(self._clock())
+        connection.park(self._clock(), kept_seconds)
         connections.append(connection)
         # A close callback makes the stream watch for the other end's close.
         stream.set_close_callback(_do_nothing)
 
 
-def _says_not_run(answer: Answer, reader: AnswerReader) -> bool:
-    return answer.status == _STATUS_SHED and reader.has_header(NOT_RUN_HEADER)
-
-
 def _do_nothing() -> None:
     """Receives the close of an idle stream; taking it skips closed ones."""
 
--- a/chervilstep/adapters/prober.py
+++ b/chervilstep/adapters/prober.py
@@ -12,7 +12,7 @@
 from chervilstep.commands.probes import end_probe, fail_probe, start_probe
 from chervilstep.node import Node
 from chervilstep.queries.probes import probes_due
-from chervilstep.snapshot import Upstream
+from chervilstep.services import Upstream
 from chervilstep.types import Instant
 
 #: How often the plan is looked at.
--- a/chervilstep/adapters/racing.py
+++ b/chervilstep/adapters/racing.py
@@ -5,6 +5,7 @@
 from typing import Any, TypeAlias, final
 
 from chervilstep.calls import Outcome
+from chervilstep.queries.outcomes import is_good_answer
 
 #: Starts the hedge, or returns None when there is to be none.
 StartHedge: TypeAlias = Callable[[], Coroutine[object, None, Outcome] | None]
@@ -57,8 +58,11 @@
         )
         outcome = await self._wait_for(first)
         self._is_decided = True
-        if outcome.answer is None and self._hedge is not None:
-            return await self._hedge
+        if self._hedge is None or is_good_answer(outcome):
+            return outcome
+        second = await self._hedge
+        if outcome.answer is None or is_good_answer(second):
+            return second
         return outcome
 
     async def _wait_for(self, first: Awaitable[Outcome]) -> Outcome:
@@ -83,7 +87,7 @@
     def _end(self, hedge: 'asyncio.Task[Outcome]') -> None:
         if self._is_decided or hedge.cancelled() or hedge.exception():
             return
-        if hedge.result().answer is not None:
+        if is_good_answer(hedge.result()):
             self._winner = hedge.result()
             self._main.cancel()
 
--- /dev/null
+++ b/chervilstep/adapters/runners.py
@@ -0,0 +1,22 @@
+"""The tasks that an instance runs beside its listeners."""
+
+from collections.abc import Callable
+
+from chervilstep.adapters.dialect import NATIVE
+from chervilstep.adapters.health import new_health_checker
+from chervilstep.adapters.prober import new_prober
+from chervilstep.adapters.source import Source
+from chervilstep.adapters.sources import new_source
+from chervilstep.node import Node
+from chervilstep.types import Instant
+
+
+def new_runners(node: Node, clock: Callable[[], Instant]) -> list[Source]:
+    """Creates what runs until the instance stops."""
+    runners: list[Source] = [
+        new_source(node),
+        new_health_checker(node, clock),
+    ]
+    if node.settings.dialect == NATIVE:
+        runners.append(new_prober(node, clock))
+    return runners
--- a/chervilstep/adapters/streams.py
+++ b/chervilstep/adapters/streams.py
@@ -2,12 +2,34 @@
 
 import asyncio
 import socket
-from typing import Any, final
+from typing import Any, Final, final
 
 from tornado import iostream, netutil
 
+#: An idle connection is probed after 1 s, each second, and given up after the
+#: second probe; so is one whose data is not acknowledged.
+_KEEP_ALIVE: Final = (
+    (socket.TCP_KEEPIDLE, 1),
+    (socket.TCP_KEEPINTVL, 1),
+    (socket.TCP_KEEPCNT, 2),
+    (socket.TCP_USER_TIMEOUT, 3000),
+)
 
-async def connect(address: str) -> iostream.IOStream:
+
+@final
+class CountedStream(iostream.IOStream):
+    """A stream that tells whether something was received and not read."""
+
+    # The base class has a dictionary, so there is nothing to declare.
+    __slots__ = ()
+
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether bytes wait in the buffer."""
+        return bool(self._read_buffer_size)
+
+
+async def connect(address: str) -> CountedStream:
     """Connects to ``ip:port`` without a resolver, which would need a thread.
 
     Raises:
@@ -16,7 +38,7 @@
     """
     host, port = split_address(address)
     family = socket.AF_INET6 if ':' in host else socket.AF_INET
-    stream = iostream.IOStream(socket.socket(family))
+    stream = CountedStream(socket.socket(family))
     try:
         await stream.connect((host, port))
     except BaseException:
@@ -27,6 +49,13 @@
     return stream
 
 
+def keep_alive(connected: socket.socket) -> None:
+    """Has the kernel find out that a connection has gone silent."""
+    for option, number in _KEEP_ALIVE:
+        connected.setsockopt(socket.IPPROTO_TCP, option, number)
+    connected.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+
+
 def ignore_failure(future: 'asyncio.Future[None]') -> None:
     """Reads the failure of a write that nobody awaits.
 
--- a/chervilstep/calls.py
+++ b/chervilstep/calls.py
@@ -5,7 +5,9 @@
 from typing import TypeAlias, final
 
 from chervilstep.refusals import Refusal
-from chervilstep.snapshot import Customer, Route, Upstream
+from chervilstep.reports import LoadReport
+from chervilstep.services import Upstream
+from chervilstep.snapshot import Customer, Priority, Route
 from chervilstep.types import Deadline, Instant, Verdict
 
 #: Header names and values, in order, as received.
@@ -21,9 +23,11 @@
         '_body',
         '_deadline',
         '_headers',
+        '_host',
         '_key_digest',
         '_method',
         '_path',
+        '_request_id',
         '_target',
     )
 
@@ -37,8 +41,12 @@
         key_digest: str | None,
         deadline: Deadline | None,
         attempt: int = 1,
+        host: str = '',
+        request_id: str = '',
     ) -> None:
         """Creates a call; ``target`` is the path with the query string."""
+        self._request_id = request_id
+        self._host = host
         self._attempt = attempt
         self._method = method
         self._target = target
@@ -73,6 +81,16 @@
         """The whole body."""
         return self._body
 
+    @property
+    def request_id(self) -> str:
+        """The caller's name for the request, for logs; empty without."""
+        return self._request_id
+
+    @property
+    def host(self) -> str:
+        """The host that selects the route; empty for routes of any."""
+        return self._host
+
     @property
     def key_digest(self) -> str | None:
         """The SHA-256 digest of the key in hexadecimal, or None."""
@@ -140,6 +158,14 @@
         """When the call was read."""
         return self._arrived_at
 
+    @property
+    def priority(self) -> Priority:
+        """The class of the call in the queues."""
+        customer = self._customer
+        if customer is None or customer.priority is None:
+            return self._route.priority
+        return customer.priority
+
     @property
     def is_idempotent(self) -> bool:
         """Whether the call may run more than once."""
@@ -201,6 +227,7 @@
     SHED = 'shed'
     CONNECT_FAILED = 'connect-failed'
     LOST_BEFORE_WRITE = 'lost-before-write'
+    MOVED = 'moved'
     LOST = 'lost'
     TIMED_OUT = 'timed-out'
     BAD_ANSWER = 'bad-answer'
@@ -252,7 +279,7 @@
 class Outcome:
     """What is known after an attempt: its ending, verdict and answer."""
 
-    __slots__ = ('_answer', '_ended_at', '_ending', '_verdict')
+    __slots__ = ('_answer', '_ended_at', '_ending', '_report', '_verdict')
 
     def __init__(
         self,
@@ -260,8 +287,10 @@
         verdict: Verdict,
         ended_at: Instant,
         answer: Answer | None = None,
+        report: LoadReport | None = None,
     ) -> None:
         """Creates an outcome; only an answered one has an ``answer``."""
+        self._report = report
         self._ending = ending
         self._verdict = verdict
         self._ended_at = ended_at
@@ -282,6 +311,11 @@
         """When the attempt ended."""
         return self._ended_at
 
+    @property
+    def report(self) -> LoadReport | None:
+        """What the upstream told of its load, if it did."""
+        return self._report
+
     @property
     def answer(self) -> Answer | None:
         """The whole answer, when there is one."""
--- a/chervilstep/commands/board.py
+++ b/chervilstep/commands/board.py
@@ -8,7 +8,7 @@
 from chervilstep.queries.homes import own_slots
 from chervilstep.queries.outcomes import is_failure
 from chervilstep.queries.warmth import is_service_full
-from chervilstep.snapshot import Service
+from chervilstep.services import Service
 from chervilstep.types import Instant, new_deadline
 
 #: The rank of the load among the commands that follow an attempt.
--- a/chervilstep/commands/membership.py
+++ b/chervilstep/commands/membership.py
@@ -11,9 +11,9 @@
 from chervilstep.types import Instant, new_deadline
 
 #: The time between two heartbeats.
-HEARTBEAT_SECONDS: Final = 0.5
+HEARTBEAT_SECONDS: Final = 1.0
 #: How long a heartbeat vouches for its sender.
-ALIVE_SECONDS: Final = 2
+ALIVE_SECONDS: Final = 3
 
 
 @MESSAGES.register('heartbeat')
--- a/chervilstep/commands/platform.py
+++ b/chervilstep/commands/platform.py
@@ -7,11 +7,11 @@
 from chervilstep.commands.relaying import confirm
 from chervilstep.members import Instance
 from chervilstep.node import Node
-from chervilstep.platform import PlatformAnswer
 from chervilstep.queries.relaying import is_alone
 from chervilstep.queries.revisions import highest_revision, missing_sections
 from chervilstep.relay import HOLD_SECONDS
 from chervilstep.types import Instant, new_deadline
+from chervilstep.values import PlatformAnswer
 
 STALE_ANSWERS: Final = 'platform_stale_answers'
 
--- a/chervilstep/commands/ramp.py
+++ b/chervilstep/commands/ramp.py
@@ -8,6 +8,7 @@
 from chervilstep.node import Node
 from chervilstep.queries.homes import depth
 from chervilstep.queries.outcomes import is_failure, is_good_answer
+from chervilstep.queries.soonest import SOONEST
 from chervilstep.queries.warmth import (
     is_outlier,
     is_slow,
@@ -15,7 +16,7 @@
     level_of,
     may_eject,
 )
-from chervilstep.snapshot import Service, Upstream
+from chervilstep.services import Service, Upstream
 from chervilstep.types import Instant, new_deadline
 from chervilstep.warmth import COLD, WARM
 
@@ -42,6 +43,8 @@
     service = node.snapshot.services.get(attempt.ticket.route.service)
     if service is None or outcome.ending is Ending.CANCELLED:
         return
+    if service.policy == SOONEST:
+        return
     upstream = attempt.upstream
     now = outcome.ended_at
     if attempt.started_at < node.warmth.record(upstream.name).since:
@@ -60,7 +63,9 @@
     """Ejects upstreams whose requests in flight are overdue."""
     for name, load in node.board.services.items():
         service = node.snapshot.services.get(name)
-        if service is not None and load.in_flight:
+        if service is None or service.policy == SOONEST:
+            continue
+        if load.in_flight:
             _judge_busy(node, service, now)
     flush_news(node, now)
 
--- a/chervilstep/commands/review.py
+++ b/chervilstep/commands/review.py
@@ -2,11 +2,13 @@
 
 from typing import Final
 
+from chervilstep.board import ServiceLoad
 from chervilstep.calls import Ticket
 from chervilstep.commands.board import shrink_limit
 from chervilstep.hooks import CHARGES, every
 from chervilstep.node import Node
 from chervilstep.queries.homes import live_instances
+from chervilstep.queries.soonest import SOONEST
 from chervilstep.queries.warmth import (
     in_service,
     is_unknown,
@@ -15,6 +17,7 @@
     peer_for,
     typical_latency,
 )
+from chervilstep.services import Service
 from chervilstep.types import Deadline, Instant, new_deadline
 from chervilstep.warmth_messages import WarmthAsk
 
@@ -35,6 +38,8 @@
     service = node.snapshot.services.get(name)
     if service is None or node.warmth.was_asked(name, now):
         return
+    if service.policy == SOONEST:
+        return
     if is_unknown(node, service, now):
         _ask_peer(node, name, now)
 
@@ -44,8 +49,8 @@
     """Asks about services that are new here, before their first call."""
     new = [
         name
-        for name in node.snapshot.services
-        if not node.warmth.was_ever_asked(name)
+        for name, service in node.snapshot.services.items()
+        if not node.warmth.was_ever_asked(name) and service.policy != SOONEST
     ]
     for name in new[:ASKS_PER_REVIEW]:
         _ask_peer(node, name, now)
@@ -81,17 +86,23 @@
     live = live_instances(node, now)
     if live != node.board.live:
         node.board.share_among(live)
-    for name, load in node.board.services.items():
-        service = node.snapshot.services.get(name)
-        if service is not None:
-            latency = typical_latency(node, service, now)
-            if latency is not None:
-                load.learn(latency)
-            if load.is_queueing:
-                shrink_limit(node, service, now)
+    for service in node.snapshot.services.values():
+        load = node.board.services.get(service.name)
+        if load is not None:
+            _review_load(node, service, load, now)
     _cool_withdrawn(node, now)
 
 
+def _review_load(
+    node: Node, service: Service, load: ServiceLoad, now: Instant
+) -> None:
+    latency = typical_latency(node, service, now)
+    if latency is not None:
+        load.learn(latency)
+    if load.is_queueing and service.policy != SOONEST:
+        shrink_limit(node, service, now)
+
+
 def _cool_withdrawn(node: Node, now: Instant) -> None:
     out = out_of_service(node.snapshot)
     for name in out - node.warmth.out_of_service:
--- /dev/null
+++ b/chervilstep/commands/vitals.py
@@ -0,0 +1,219 @@
+"""Learns the health and the load of upstreams, and tells peers of it."""
+
+from typing import Final, TypeAlias, final
+
+from chervilstep.calls import Attempt, Ending, Outcome
+from chervilstep.exceptions import PeerError
+from chervilstep.hooks import (
+    ATTEMPT_ENDS,
+    ATTEMPT_STARTS,
+    HANDLERS,
+    MESSAGES,
+    every,
+)
+from chervilstep.messages import Message
+from chervilstep.node import Node
+from chervilstep.queries.coldness import cold_rate
+from chervilstep.queries.fleet import zone_peers
+from chervilstep.queries.outcomes import is_failure
+from chervilstep.queries.soonest import SOONEST
+from chervilstep.reports import LoadReport
+from chervilstep.services import Service
+from chervilstep.types import MS_PER_SECOND, Instant, new_deadline
+from chervilstep.vitals import Vitals
+
+VITALS_RANK: Final = 20
+#: How often peers hear the newest reports.
+NEWS_SECONDS: Final = 0.05
+#: How long an upstream is left alone after its first failure in a row.
+FIRST_CLOSE_SECONDS: Final = 0.25
+MAX_CLOSE_SECONDS: Final = 4.0
+#: How long the address of an upstream is left alone that another one has.
+MOVED_SECONDS: Final = 30.0
+#: Failures in a row after which nothing is sent for a while; one that could
+#: not be connected to counts at once.
+MAX_FAILURES: Final = 2
+#: An older report says nothing any more.
+MAX_AGE_SECONDS: Final = 2.0
+
+#: The running and the waiting requests, and the slots.
+_COUNTS: Final = 3
+#: Running and waiting requests, slots, slowdown, and the age in ms.
+Entry: TypeAlias = tuple[int, int, int, float, int]
+
+
+@MESSAGES.register('loads')
+@final
+class Loads(Message):
+    """The newest reports of upstreams by name."""
+
+    __slots__ = ('_reports',)
+
+    kind = 'loads'
+    fields = ('reports',)
+
+    def __init__(self, reports: dict[str, Entry]) -> None:
+        """Creates a message of reports; see ``Entry``."""
+        self._reports = reports
+
+    @property
+    def reports(self) -> dict[str, Entry]:
+        """The reports by the upstream's name."""
+        return self._reports
+
+
+@ATTEMPT_STARTS.register(VITALS_RANK)
+def spend_cold(node: Node, attempt: Attempt) -> None:
+    """Takes the token of a call to a cold upstream."""
+    service = node.snapshot.services.get(attempt.ticket.route.service)
+    vitals = node.vitals.by_upstream.get(attempt.upstream.name)
+    if service is None or service.cold_start is None or vitals is None:
+        return
+    now = attempt.started_at
+    if not vitals.is_cold(now):
+        return
+    rate = cold_rate(node, service.cold_start, attempt.upstream)
+    elapsed = max(0, now - vitals.cold_at)
+    tokens = min(1, vitals.cold_tokens + elapsed * rate)
+    vitals.count_cold(tokens - 1, now)
+
+
+@ATTEMPT_ENDS.register(VITALS_RANK)
+def judge_vitals(node: Node, attempt: Attempt, outcome: Outcome) -> None:
+    """Takes in what an attempt says of the health of its upstream."""
+    service = node.snapshot.services.get(attempt.ticket.route.service)
+    if service is None or service.policy != SOONEST:
+        return
+    name = attempt.upstream.name
+    vitals = node.vitals.of(name)
+    now = outcome.ended_at
+    if outcome.report is not None:
+        take_report(node, service, name, outcome.report)
+        node.vitals.publish(name, outcome.report)
+    if outcome.ending is Ending.MOVED:
+        move_away(node, name, now)
+    elif is_failure(outcome):
+        vitals.note(now, has_failed=True)
+        _close(service, vitals, outcome.ending, now)
+    elif outcome.ending is Ending.ANSWERED:
+        vitals.note(now, has_failed=False)
+
+
+def take_report(
+    node: Node, service: Service, upstream: str, report: LoadReport
+) -> None:
+    """Takes in a report, unless a newer one is known."""
+    vitals = node.vitals.of(upstream)
+    if vitals.report is not None and vitals.report.at >= report.at:
+        return
+    own = node.board.in_flight(upstream)
+    others = max(0, report.running + report.waiting - own)
+    vitals.hear(report, others)
+    node.vitals.means(service.name).note(report.slowdown, others)
+
+
+@every(NEWS_SECONDS, 'loads')
+def tell_loads(node: Node, now: Instant) -> None:
+    """Tells the peers of this zone of the newest reports.
+
+    Traffic between zones is billed, and most work stays in its zone.
+    """
+    fresh = node.vitals.fresh
+    if not fresh:
+        return
+    reports = {
+        name: _entry_of(report, now)
+        for name, report in fresh.items()
+        if now - report.at < MAX_AGE_SECONDS
+    }
+    node.vitals.clear_fresh()
+    if reports:
+        message = Loads(reports)
+        for peer in zone_peers(node):
+            node.outbox.put(peer, message)
+
+
+@HANDLERS.register('loads')
+def take_loads(node: Node, peer: str, message: Message, now: Instant) -> None:
+    """Takes in the reports that a peer got."""
+    assert isinstance(message, Loads)
+    services = {
+        upstream.name: service
+        for service in node.snapshot.services.values()
+        for upstream in service.upstreams
+        if upstream.name in message.reports
+    }
+    for name, service in services.items():
+        report = _report_of(message.reports[name], now)
+        take_report(node, service, name, report)
+
+
+def take_health(
+    node: Node,
+    service: Service,
+    upstream: str,
+    report: LoadReport | None,
+    cold_seconds: float | None,
+    now: Instant,
+) -> None:
+    """Takes in the answer of an upstream to a health check."""
+    if report is not None:
+        take_report(node, service, upstream, report)
+        node.vitals.publish(upstream, report)
+    if cold_seconds:
+        node.vitals.of(upstream).chill(new_deadline(now, cold_seconds))
+
+
+def miss_health(
+    node: Node, service: Service, upstream: str, now: Instant
+) -> None:
+    """Notes that an upstream could not be reached for a health check."""
+    vitals = node.vitals.of(upstream)
+    vitals.note(now, has_failed=True)
+    _close(service, vitals, Ending.CONNECT_FAILED, now)
+
+
+def move_away(node: Node, upstream: str, now: Instant) -> None:
+    """Notes that another upstream has the address of this one."""
+    vitals = node.vitals.of(upstream)
+    vitals.note(now, has_failed=True)
+    vitals.close(new_deadline(now, MOVED_SECONDS))
+
+
+def _close(
+    service: Service, vitals: Vitals, ending: Ending, now: Instant
+) -> None:
+    is_unreachable = ending is Ending.CONNECT_FAILED
+    if vitals.failures < MAX_FAILURES and not is_unreachable:
+        return
+    doublings = vitals.failures - 1
+    seconds = min(MAX_CLOSE_SECONDS, FIRST_CLOSE_SECONDS * 2**doublings)
+    until = new_deadline(now, seconds)
+    vitals.close(until)
+    if is_unreachable and service.cold_start is not None:
+        # Whatever listens there next has just started.
+        cold_until = new_deadline(until.at, service.cold_start.seconds)
+        vitals.chill(cold_until.later(vitals.cold_until))
+
+
+def _entry_of(report: LoadReport, now: Instant) -> Entry:
+    age_ms = int(max(0, now - report.at) * MS_PER_SECOND)
+    return (
+        report.running,
+        report.waiting,
+        report.slots,
+        round(report.slowdown, 2),
+        age_ms,
+    )
+
+
+def _report_of(entry: Entry, now: Instant) -> LoadReport:
+    *counts, slowdown, age_ms = entry
+    is_proper = len(counts) == _COUNTS and all(
+        isinstance(found, int) for found in (*counts, age_ms)
+    )
+    if not is_proper or not isinstance(slowdown, (int, float)):
+        raise PeerError('not a report of a load')
+    at = now - int(age_ms) / MS_PER_SECOND
+    running, waiting, slots = counts
+    return LoadReport(running, waiting, slots, slowdown, at)
--- a/chervilstep/configuration.py
+++ b/chervilstep/configuration.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Mapping
 from typing import final
 
+from chervilstep.catalog import Catalog
 from chervilstep.content import SectionContent
 from chervilstep.snapshot import Snapshot, new_empty_snapshot
 from chervilstep.types import Deadline
@@ -79,6 +80,7 @@
     """The highest accepted revision of each section, and their snapshot."""
 
     __slots__ = (
+        '_catalog',
         '_confirmed_until',
         '_conflicts',
         '_faults',
@@ -91,6 +93,7 @@
 
     def __init__(self) -> None:
         """Starts with no section."""
+        self._catalog = Catalog()
         self._sections: dict[str, Section] = {}
         self._faults: dict[str, Fault] = {}
         self._snapshot = new_empty_snapshot()
@@ -100,6 +103,11 @@
         self._seen_revision = 0
         self._platform_until: Deadline | None = None
 
+    @property
+    def catalog(self) -> Catalog:
+        """What the platform's store says, where there is one."""
+        return self._catalog
+
     @property
     def sections(self) -> Mapping[str, Section]:
         """The accepted sections by name, deleted ones included."""
--- a/chervilstep/content.py
+++ b/chervilstep/content.py
@@ -3,7 +3,8 @@
 from collections.abc import Mapping
 from typing import final
 
-from chervilstep.snapshot import Customer, Route, Service, ZoneState
+from chervilstep.services import Service
+from chervilstep.snapshot import Customer, Route, ZoneState
 
 
 @final
--- a/chervilstep/hooks.py
+++ b/chervilstep/hooks.py
@@ -13,7 +13,8 @@
 from chervilstep.readings import Reading
 from chervilstep.refusals import Refusal
 from chervilstep.registry import Registry, new_registry
-from chervilstep.snapshot import Service, Upstream
+from chervilstep.replica import StoredItem
+from chervilstep.services import Service, Upstream
 from chervilstep.types import Instant
 
 Function = TypeVar('Function')
@@ -95,6 +96,9 @@
 Describe: TypeAlias = Callable[[Node, Instant], object]
 #: Queries that read the levels of one gauge.
 Gauge: TypeAlias = Callable[[Node, Instant], Iterable[Reading]]
+#: Commands that take an item of the platform's store into the catalog; they
+#: raise ``ItemError`` when it cannot be read.
+ItemReader: TypeAlias = Callable[[Node, StoredItem, Instant], None]
 
 CHECKS: Final[Steps[Check]] = Steps()
 CHARGES: Final[Steps[Charge]] = Steps()
@@ -114,6 +118,9 @@
 #: The gauges among the metrics by name.
 GAUGES: Final[Registry[Gauge]] = new_registry('gauge')
 POLICIES: Final[Registry[Policy]] = new_registry('policy')
+#: Commands that read an item of the platform's store, by the first part of
+#: its key.
+ITEM_READERS: Final[Registry[ItemReader]] = new_registry('item reader')
 
 
 def every(period_seconds: float, name: str) -> Callable[[Periodic], Periodic]:
--- a/chervilstep/members.py
+++ b/chervilstep/members.py
@@ -66,15 +66,27 @@
 class PeerView:
     """What was seen of one peer itself, beside the platform's list."""
 
-    __slots__ = ('_alive_until', '_is_leaving', '_is_ready', '_load')
+    __slots__ = (
+        '_alive_until',
+        '_is_heard',
+        '_is_leaving',
+        '_is_ready',
+        '_load',
+    )
 
     def __init__(self) -> None:
         """Starts as never heard of."""
         self._alive_until: Deadline | None = None
+        self._is_heard = False
         self._is_ready = False
         self._is_leaving = False
         self._load = float(0)
 
+    @property
+    def is_heard(self) -> bool:
+        """Whether there is a stream on which the peer has spoken."""
+        return self._is_heard
+
     @property
     def is_ready(self) -> bool:
         """Whether the peer said that it has a configuration."""
@@ -106,24 +118,97 @@
     ) -> None:
         """Takes in what a heartbeat says."""
         self._alive_until = alive_until
+        self._is_heard = True
         self._is_ready = is_ready
         self._is_leaving = self._is_leaving or is_leaving
         self._load = load
 
     def lose(self) -> None:
-        """Notes that the stream to the peer broke."""
+        """Notes that the stream to the peer broke.
+
+        Whoever comes back under the name may be a new process.
+        """
         self._alive_until = None
+        self._is_heard = False
+        self._is_leaving = False
+
+
+@final
+class Condition(enum.IntEnum):
+    """What is known of an instance; of one version, the greatest counts."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3
+
+
+@final
+class Standing:
+    """The condition of one instance in one version of its own account.
+
+    Only the instance itself raises the ``version``, when it starts and when
+    it denies its death (SWIM; Das, Gupta and Motivala, 2002).
+    """
+
+    __slots__ = ('_condition', '_instance', '_until', '_version')
+
+    def __init__(
+        self,
+        instance: Instance,
+        version: int,
+        condition: Condition,
+        until: Deadline,
+    ) -> None:
+        """Creates a standing that is looked at again at ``until``."""
+        self._instance = instance
+        self._version = version
+        self._condition = condition
+        self._until = until
+
+    @property
+    def instance(self) -> Instance:
+        """Whom it is about."""
+        return self._instance
+
+    @property
+    def version(self) -> int:
+        """The instance's own number for this account of itself."""
+        return self._version
+
+    @property
+    def condition(self) -> Condition:
+        """What is known."""
+        return self._condition
+
+    @property
+    def until(self) -> Deadline:
+        """When a suspect counts as dead, and a dead one is forgotten."""
+        return self._until
+
+    @property
+    def is_listed(self) -> bool:
+        """Whether the instance still counts as part of the fleet."""
+        return self._condition <= Condition.SUSPECT
 
 
 @final
 class Members:
-    """The fleet: the platform's lagging list, and each peer as it is seen."""
+    """The fleet: who belongs to it, and each peer as it is seen."""
 
-    __slots__ = ('_is_leaving', '_listed', '_revision', '_self_name', '_views')
+    __slots__ = (
+        '_is_leaving',
+        '_listed',
+        '_revision',
+        '_self_name',
+        '_standings',
+        '_views',
+    )
 
     def __init__(self, self_name: str) -> None:
         """Starts with an empty list; ``self_name`` is this instance."""
         self._self_name = self_name
+        self._standings: dict[str, Standing] = {}
         self._listed: dict[str, Instance] = {}
         self._views: dict[str, PeerView] = {}
         self._revision = 0
@@ -149,6 +234,20 @@
         """What was seen of each peer by name."""
         return self._views
 
+    @property
+    def standings(self) -> Mapping[str, Standing]:
+        """What the instances tell each other of one another, by name."""
+        return self._standings
+
+    @property
+    def lost(self) -> frozenset[str]:
+        """The names of instances that died lately and may come back."""
+        return frozenset(
+            name
+            for name, standing in self._standings.items()
+            if standing.condition is Condition.DEAD
+        )
+
     @property
     def is_leaving(self) -> bool:
         """Whether this instance itself is stopping."""
@@ -161,6 +260,21 @@
         self._revision = revision
         self._listed = {instance.name: instance for instance in instances}
 
+    def note(self, standing: Standing) -> None:
+        """Replaces what is known of one instance."""
+        name = standing.instance.name
+        self._standings[name] = standing
+        if standing.is_listed:
+            self._listed[name] = standing.instance
+        else:
+            self._listed.pop(name, None)
+
+    def forget(self, name: str) -> None:
+        """Drops an instance that has been gone for long."""
+        self._standings.pop(name, None)
+        self._listed.pop(name, None)
+        self._views.pop(name, None)
+
     def view(self, name: str) -> PeerView:
         """The view of the peer ``name``, created on first use."""
         return self._views.setdefault(name, PeerView())
--- a/chervilstep/node.py
+++ b/chervilstep/node.py
@@ -1,32 +1,30 @@
 """The whole state of one entry instance."""
 
 import random
-from typing import Final, final
+from typing import final
 
 from chervilstep.board import Board
 from chervilstep.burn import BurnLedger
 from chervilstep.configuration import Configuration
 from chervilstep.counters import Counters
+from chervilstep.events import Events
 from chervilstep.latencies import Latencies
-from chervilstep.leases import Holder
 from chervilstep.members import Members
 from chervilstep.messages import Outbox
 from chervilstep.paths import Paths
 from chervilstep.probes import ProbePlan
 from chervilstep.quarantine import Quarantine
+from chervilstep.rates import Rates
 from chervilstep.relay import Relay
+from chervilstep.replica import Replica
 from chervilstep.retries import RetryBudget
 from chervilstep.settings import Settings
-from chervilstep.shares import Shares
 from chervilstep.snapshot import Snapshot
 from chervilstep.tails import Tails
-from chervilstep.voting import Leases
+from chervilstep.vitals import VitalsTable
 from chervilstep.waiting import Waiting
 from chervilstep.warmth import WarmthTable
 
-#: Enough that no two processes of one name draw the same incarnation.
-INCARNATION_BITS: Final = 32
-
 
 @final
 class Node:
@@ -41,19 +39,21 @@
         '_burn',
         '_configuration',
         '_counters',
+        '_events',
         '_latencies',
-        '_leases',
         '_members',
         '_outbox',
         '_relay',
         '_paths',
         '_probes',
         '_quarantine',
+        '_rates',
+        '_replica',
         '_retries',
         '_rng',
         '_settings',
-        '_shares',
         '_tails',
+        '_vitals',
         '_waiting',
         '_warmth',
     )
@@ -71,9 +71,10 @@
         self._burn = BurnLedger()
         self._latencies = Latencies()
         self._outbox = Outbox()
-        incarnation = rng.getrandbits(INCARNATION_BITS)
-        self._shares = Shares(incarnation)
-        self._leases = Leases(Holder(settings.name, incarnation))
+        self._rates = Rates()
+        self._replica = Replica()
+        self._vitals = VitalsTable()
+        self._events = Events()
         self._relay = Relay()
         self._waiting = Waiting()
         self._tails = Tails()
@@ -91,6 +92,10 @@
         """The source of random numbers, seeded in tests."""
         return self._rng
 
+    def reconfigure(self, settings: Settings) -> None:
+        """Replaces the settings after their file has changed."""
+        self._settings = settings
+
     @property
     def configuration(self) -> Configuration:
         """The accepted sections."""
@@ -142,9 +147,24 @@
         return self._outbox
 
     @property
-    def leases(self) -> Leases:
-        """The shards of the customers' limits that this instance holds."""
-        return self._leases
+    def rates(self) -> Rates:
+        """The customers' tokens, as far as this instance can tell."""
+        return self._rates
+
+    @property
+    def replica(self) -> Replica:
+        """The copy of the platform's store."""
+        return self._replica
+
+    @property
+    def events(self) -> Events:
+        """What happened and was not logged yet."""
+        return self._events
+
+    @property
+    def vitals(self) -> VitalsTable:
+        """The health and the load of upstreams that report it."""
+        return self._vitals
 
     @property
     def relay(self) -> Relay:
@@ -166,11 +186,6 @@
         """The requests that may crash upstreams."""
         return self._quarantine
 
-    @property
-    def shares(self) -> Shares:
-        """The customers' tokens that this instance may spend."""
-        return self._shares
-
     @property
     def tails(self) -> Tails:
         """The tails of the services' latencies."""
--- /dev/null
+++ b/chervilstep/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translates between the users' platform and chervilstep, and no more."""
--- /dev/null
+++ b/chervilstep/platform/following.py
@@ -0,0 +1,90 @@
+"""Follows the platform's store and keeps the replica up to date."""
+
+import asyncio
+import contextlib
+import time
+from typing import Final, final
+
+from chervilstep.adapters.source import SOURCES
+from chervilstep.commands.replica import (
+    lose_store,
+    regain_store,
+    take_items,
+    take_listing,
+)
+from chervilstep.exceptions import StoreError
+from chervilstep.node import Node
+from chervilstep.platform.store import new_store_client
+
+#: How long a watch waits; each one is a call that the platform bills.
+WATCH_SECONDS: Final = 6.0
+#: How long changes are left to gather before the next watch: a fraction of
+#: the time in which a change has to be in force.
+GATHER_SECONDS: Final = 0.4
+#: The first pause after a failure, which doubles up to the longest.
+MIN_PAUSE_SECONDS: Final = 0.1
+MAX_PAUSE_SECONDS: Final = 0.8
+#: Pauses vary by this part, so that instances do not come back together.
+PAUSE_JITTER: Final = 0.5
+READS: Final = 'store_reads'
+
+
+@final
+@SOURCES.register('store')
+class StoreSource:
+    """Reads ``store://ip:port`` once, and watches it from there."""
+
+    __slots__ = ('_client', '_is_listed', '_node')
+
+    def __init__(self, node: Node, url: str) -> None:
+        """Creates the source of the store in ``url``."""
+        self._node = node
+        self._client = new_store_client(url.partition('://')[2])
+        self._is_listed = False
+
+    async def run(self) -> None:
+        """Follows the store until cancelled."""
+        self._node.replica.follow()
+        pause = MIN_PAUSE_SECONDS
+        with contextlib.closing(self._client):
+            while True:
+                if await self._step():
+                    pause = MIN_PAUSE_SECONDS
+                    continue
+                spread = self._node.rng.uniform(1, 1 + PAUSE_JITTER)
+                await asyncio.sleep(pause * spread)
+                pause = min(2 * pause, MAX_PAUSE_SECONDS)
+
+    async def _step(self) -> bool:
+        """Reads once; False after a failure."""
+        self._node.counters.add(READS)
+        try:
+            await self._read()
+        except StoreError as fault:
+            now = time.monotonic()
+            if fault.is_compacted:
+                self._is_listed = False
+                self._node.events.add('store_compacted')
+                return True
+            lose_store(self._node, str(fault), now)
+            return False
+        return True
+
+    async def _read(self) -> None:
+        replica = self._node.replica
+        if not self._is_listed:
+            listing = await self._client.list_all()
+            now = time.monotonic()
+            regain_store(self._node, now)
+            take_listing(self._node, listing.items, listing.as_of, now)
+            self._is_listed = True
+            return
+        # After an outage a short watch tells soon that the store is back.
+        wait = 0 if replica.lost_at is not None else WATCH_SECONDS
+        changes = await self._client.watch(replica.as_of, wait)
+        now = time.monotonic()
+        regain_store(self._node, now)
+        take_items(self._node, changes.items, changes.as_of, now)
+        if changes.items:
+            # More changes often follow; one call brings all of them.
+            await asyncio.sleep(GATHER_SECONDS)
--- /dev/null
+++ b/chervilstep/platform/running.py
@@ -0,0 +1,30 @@
+"""Runs an instance and follows its settings file."""
+
+import asyncio
+import signal
+import time
+
+from chervilstep.adapters.instance import RunningInstance, serve_instance
+from chervilstep.commands.gossip import join
+from chervilstep.exceptions import SettingsError
+from chervilstep.platform.boot import read_boot
+
+
+async def serve(instance: RunningInstance) -> None:
+    """Joins the fleet, and serves until SIGTERM."""
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGHUP, reload, instance)
+    join(instance.node, time.monotonic())
+    await serve_instance(instance)
+
+
+def reload(instance: RunningInstance) -> None:
+    """Reads the settings again; bad ones leave the old ones in force."""
+    node = instance.node
+    try:
+        settings = read_boot()
+    except SettingsError as fault:
+        node.events.add('reload_refused', fault=str(fault))
+        return
+    node.reconfigure(settings)
+    node.events.add('reloaded', seeds=len(settings.seeds))
--- a/chervilstep/queries/admission.py
+++ b/chervilstep/queries/admission.py
@@ -12,17 +12,26 @@
 
 def admit(node: Node, call: Call, now: Instant) -> Ticket | Refusal:
     """Returns the ticket of a call that may wait and be sent."""
-    route = resolve(node.snapshot, call.method, call.path)
+    route = resolve(node.snapshot, call.method, call.path, call.host)
     if isinstance(route, Refusal):
         return route
     customer = authenticate(node.snapshot, route, call.key_digest)
     if isinstance(customer, Refusal):
         return customer
     deadline = deadline_of(call, route, now)
-    ticket = Ticket(call, route, customer, deadline, now)
+    ticket = Ticket(call, part_of(node, route), customer, deadline, now)
     return _objection(node, ticket, now) or ticket
 
 
+def part_of(node: Node, route: Route) -> Route:
+    """One of the routes into which a route splits, drawn by weight."""
+    if not route.parts:
+        return route
+    weights = [weight for weight, _ in route.parts]
+    routes = [part for _, part in route.parts]
+    return node.rng.choices(routes, weights)[0]
+
+
 def deadline_of(call: Call, route: Route, now: Instant) -> Deadline:
     """The caller's deadline, or the route's when that is earlier."""
     deadline = new_deadline(now, route.timeout_seconds)
--- a/chervilstep/queries/attempting.py
+++ b/chervilstep/queries/attempting.py
@@ -5,8 +5,8 @@
 from chervilstep.calls import Attempt
 from chervilstep.node import Node
 from chervilstep.progress import Progress
-from chervilstep.queries.retrying import MAX_ATTEMPTS, is_nested
-from chervilstep.snapshot import Upstream
+from chervilstep.queries.retrying import is_nested
+from chervilstep.services import Upstream
 from chervilstep.types import Deadline, Instant, new_deadline
 
 #: The part of the remaining time that an attempt gets when it may be retried.
@@ -15,6 +15,9 @@
 #: An attempt gets at least this multiple of the tail of its service.
 TAIL_MULTIPLE: Final = 1.5
 
+#: An attempt gets at least this multiple of its route's objective.
+OBJECTIVE_MULTIPLE: Final = 1.25
+
 
 def new_attempt(
     node: Node, progress: Progress, upstream: Upstream, now: Instant
@@ -45,6 +48,9 @@
     if not has_successor(progress):
         return deadline
     seconds = deadline.remaining(now) * ATTEMPT_SHARE
+    objective = progress.ticket.route.objective_seconds
+    if objective is not None:
+        seconds = max(seconds, objective * OBJECTIVE_MULTIPLE)
     tail = node.tails.by_service.get(progress.ticket.route.service)
     if tail is not None and tail.seconds is not None:
         seconds = max(seconds, tail.seconds * TAIL_MULTIPLE)
@@ -54,6 +60,8 @@
 def has_successor(progress: Progress) -> bool:
     """Whether a silent attempt could be followed by another one."""
     ticket = progress.ticket
-    if progress.attempts + 1 >= MAX_ATTEMPTS or not ticket.is_idempotent:
+    if progress.attempts + 1 >= ticket.route.max_attempts:
+        return False
+    if not ticket.is_idempotent:
         return False
     return not is_nested(ticket.call)
--- a/chervilstep/queries/choice.py
+++ b/chervilstep/queries/choice.py
@@ -4,7 +4,7 @@
 from chervilstep.node import Node
 from chervilstep.queries import policies
 from chervilstep.queries.warmth import in_service
-from chervilstep.snapshot import Service, Upstream
+from chervilstep.services import Service, Upstream
 from chervilstep.types import Instant
 
 __all__ = ('choose', 'has_any', 'policies')
--- a/chervilstep/queries/composition.py
+++ b/chervilstep/queries/composition.py
@@ -14,14 +14,8 @@
 from chervilstep.hooks import POLICIES
 from chervilstep.queries.kinds import DEFAULT_POLICY
 from chervilstep.queries.tables import suggestion
-from chervilstep.snapshot import (
-    Customer,
-    Route,
-    Service,
-    Snapshot,
-    Upstream,
-    ZoneState,
-)
+from chervilstep.services import Service, Upstream
+from chervilstep.snapshot import Customer, Route, Snapshot, ZoneState
 
 Definition = TypeVar('Definition')
 #: The definitions of one kind in each section, by section and name.
--- a/chervilstep/queries/currency.py
+++ b/chervilstep/queries/currency.py
@@ -22,8 +22,14 @@
 
 @CHECKS.register(CURRENCY_RANK)
 def check_currency(node: Node, ticket: Ticket, now: Instant) -> Refusal | None:
-    """Refuses keys when a revocation could have been missed."""
-    if ticket.route.is_open or remaining_of(node, now):
+    """Refuses keys when a revocation could have been missed.
+
+    A replica of the platform's store keeps its last state instead: there,
+    what is served while the store is away is agreed with the operators.
+    """
+    if ticket.route.is_open or node.replica.is_followed:
+        return None
+    if remaining_of(node, now):
         return None
     return STALE_CONFIGURATION
 
@@ -31,7 +37,7 @@
 @CHECKS.register(ACCESS_RANK)
 def check_access(node: Node, ticket: Ticket, now: Instant) -> Refusal | None:
     """Refuses a ticket whose access ended while it waited."""
-    route = node.snapshot.route_by_path(ticket.route.path)
+    route = node.snapshot.route_by_path(ticket.route.path, ticket.route.host)
     if route is None:
         return UNKNOWN_ROUTE
     found = authenticate(node.snapshot, route, ticket.call.key_digest)
--- a/chervilstep/queries/homes.py
+++ b/chervilstep/queries/homes.py
@@ -8,7 +8,7 @@
 import xxhash
 
 from chervilstep.node import Node
-from chervilstep.snapshot import Service, Upstream
+from chervilstep.services import Service, Upstream
 from chervilstep.types import Instant
 
 #: Divisions of slots that are remembered, one for each service and fleet.
--- a/chervilstep/queries/kinds.py
+++ b/chervilstep/queries/kinds.py
@@ -7,15 +7,8 @@
 from chervilstep.content import SectionContent
 from chervilstep.queries.tables import NAME_PATTERN, Table
 from chervilstep.registry import Registry, new_registry
-from chervilstep.snapshot import (
-    Customer,
-    Priority,
-    Route,
-    Service,
-    Upstream,
-    UpstreamState,
-    ZoneState,
-)
+from chervilstep.services import Service, Upstream, UpstreamState
+from chervilstep.snapshot import Customer, Priority, Route, ZoneState
 from chervilstep.types import MS_PER_SECOND
 
 #: Reads the definitions of one kind from their table.
--- a/chervilstep/queries/load.py
+++ b/chervilstep/queries/load.py
@@ -3,7 +3,6 @@
 from typing import Final
 
 from chervilstep.node import Node
-from chervilstep.queries.leases import holders
 from chervilstep.types import Instant
 
 #: Requests in flight at which an instance counts as fully loaded.
@@ -17,12 +16,5 @@
 
 
 def is_ready(node: Node, now: Instant) -> bool:
-    """Whether this instance can serve the callers that are sent to it.
-
-    It needs a configuration, and someone who lends it the customers' tokens:
-    after a start of the whole fleet the leases of an earlier one must end
-    first, and until then every call with a key would be refused.
-    """
-    if not node.snapshot.routes:
-        return False
-    return not node.snapshot.customers or bool(holders(node, now))
+    """Whether this instance can serve the callers that are sent to it."""
+    return bool(node.snapshot.routes)
--- a/chervilstep/queries/locator.py
+++ b/chervilstep/queries/locator.py
@@ -8,11 +8,6 @@
 from chervilstep.queries.load import is_ready
 from chervilstep.types import Instant
 
-#: How long a caller may keep the answer.
-KEEP_SECONDS: Final = 5
-#: How many addresses an answer holds.
-MAX_ADDRESSES: Final = 4
-
 
 @final
 class Directions:
@@ -44,18 +39,23 @@
     Each caller gets another order, drawn with weights that fall with the
     load that an instance last reported, so that callers spread without
     following each other to the instance that was idle a moment ago. The
-    caller's own zone, when it names one, goes first.
+    caller's own zone, when it names one, goes first; with enough instances
+    there, traffic between zones is spared.
     """
+    terms = node.settings.locator
     usable = usable_instances(node, now)
+    near = [each for each in usable if each.zone == caller_zone]
     ranked = sorted(
-        usable,
+        near if len(near) >= terms.enough_near else usable,
         key=lambda instance: (
             instance.zone != caller_zone,
             _draw(node, instance),
         ),
     )
-    addresses = tuple(instance.address for instance in ranked[:MAX_ADDRESSES])
-    return Directions(addresses, KEEP_SECONDS)
+    addresses = tuple(
+        instance.address for instance in ranked[: terms.max_addresses]
+    )
+    return Directions(addresses, terms.keep_seconds)
 
 
 def usable_instances(node: Node, now: Instant) -> tuple[Instance, ...]:
--- a/chervilstep/queries/overlay.py
+++ b/chervilstep/queries/overlay.py
@@ -7,7 +7,7 @@
 from chervilstep.members import Members
 
 #: Up to this size of the fleet, every instance is a neighbour of each other.
-FULL_MESH_INSTANCES: Final = 24
+FULL_MESH_INSTANCES: Final = 128
 
 
 def neighbours(members: Members) -> frozenset[str]:
--- a/chervilstep/queries/policies.py
+++ b/chervilstep/queries/policies.py
@@ -13,7 +13,7 @@
 from chervilstep.node import Node
 from chervilstep.queries.homes import own_slots
 from chervilstep.queries.warmth import open_slots
-from chervilstep.snapshot import Service, Upstream
+from chervilstep.services import Service, Upstream
 from chervilstep.types import Instant
 
 #: Requests that an instance sends to an upstream beyond its own slots there.
--- a/chervilstep/queries/queueing.py
+++ b/chervilstep/queries/queueing.py
@@ -16,7 +16,8 @@
     QUEUE_TOO_LONG,
     Refusal,
 )
-from chervilstep.snapshot import Priority, Upstream
+from chervilstep.services import Upstream
+from chervilstep.snapshot import Priority
 from chervilstep.types import Instant
 from chervilstep.waiting import TURN_COSTS, Lane, ServiceQueue, Turn, Waiter
 
@@ -82,7 +83,7 @@
     heaviest, most = held.most_common(1)[0] if held else (own, 0)
     if most > held[own] + 1:
         return _last_of(queue, heaviest, Priority.URGENT)
-    return _last_of(queue, own, progress.ticket.route.priority + 1)
+    return _last_of(queue, own, progress.ticket.priority + 1)
 
 
 def expected_wait(
@@ -98,7 +99,7 @@
     if progress.tried:
         return 0
     ticket = progress.ticket
-    lane = queue.lanes[ticket.route.priority]
+    lane = queue.lanes[ticket.priority]
     own_pace = lane.paces.get(ticket.customer_name)
     own = own_pace.interval(now) if own_pace else None
     if own is not None:
@@ -132,7 +133,7 @@
     this one; the other classes get turns in proportion to their weights.
     """
     ticket = progress.ticket
-    priority = ticket.route.priority
+    priority = ticket.priority
     own = _turns_in_lane(queue.lanes[priority], ticket.customer_name)
     others = sum(
         min(len(lane), own * _turns_ratio(other, priority))
--- a/chervilstep/queries/revisions.py
+++ b/chervilstep/queries/revisions.py
@@ -6,8 +6,8 @@
 
 from chervilstep.configuration import Configuration, Section
 from chervilstep.fields import MAX_ITEMS
-from chervilstep.platform import PlatformAnswer
 from chervilstep.sync_messages import Revisions, RevisionsPage
+from chervilstep.values import PlatformAnswer
 
 FINGERPRINT_BYTES: Final = 8
 
--- a/chervilstep/queries/routing.py
+++ b/chervilstep/queries/routing.py
@@ -17,8 +17,10 @@
 _AMBIGUOUS: Final = re.compile(r'//|/\.{1,2}(?:/|;|$)|\\|\x00')
 
 
-def resolve(snapshot: Snapshot, method: str, path: str) -> Route | Refusal:
-    """Returns the route with the longest prefix of ``path``.
+def resolve(
+    snapshot: Snapshot, method: str, path: str, host: str = ''
+) -> Route | Refusal:
+    """Returns the route of ``host`` with the longest prefix of ``path``.
 
     A method that this route does not take is refused: falling back to a
     shorter prefix could lead past the keys that the longer one asks for. For
@@ -29,18 +31,18 @@
     decoded = unquote(path) if '%' in path else path
     if _AMBIGUOUS.search(decoded) or '%2f' in path.lower():
         return BAD_REQUEST
-    route = _longest_prefix(snapshot, decoded)
+    route = _longest_prefix(snapshot, decoded, host)
     if route is None:
         return UNKNOWN_ROUTE
-    if method not in route.methods:
+    if route.methods and method not in route.methods:
         return METHOD_NOT_ALLOWED
     return route
 
 
-def _longest_prefix(snapshot: Snapshot, path: str) -> Route | None:
+def _longest_prefix(snapshot: Snapshot, path: str, host: str) -> Route | None:
     end = path.rfind('/')
     while end >= 0:
-        route = snapshot.route_by_path(path[: end + 1])
+        route = snapshot.route_by_path(path[: end + 1], host)
         if route is not None:
             return route
         end = path.rfind('/', 0, end)
--- a/chervilstep/queries/settings.py
+++ b/chervilstep/queries/settings.py
@@ -8,6 +8,7 @@
     DEFAULT_BODY_LIMIT_BYTES,
     DEFAULT_HEADER_LIMIT_BYTES,
     Limits,
+    Profile,
     Settings,
 )
 
@@ -54,7 +55,7 @@
         admin_address=table.address('admin_address'),
         configuration_source=table.text('configuration_source'),
         peer_secret=table.text('peer_secret'),
-        limits=_read_limits(table),
+        profile=Profile(limits=_read_limits(table)),
         seeds=_read_seeds(table.table('seeds')),
     )
 
--- a/chervilstep/queries/warmth.py
+++ b/chervilstep/queries/warmth.py
@@ -5,7 +5,8 @@
 
 from chervilstep.node import Node
 from chervilstep.queries.homes import first_by_score, live_instances, own_slots
-from chervilstep.snapshot import Service, Snapshot, Upstream
+from chervilstep.services import Service, Upstream
+from chervilstep.snapshot import Snapshot
 from chervilstep.types import Instant
 from chervilstep.warmth import COLD, WARM, Warmth
 
--- a/chervilstep/queries/warmth_news.py
+++ b/chervilstep/queries/warmth_news.py
@@ -5,7 +5,7 @@
 from chervilstep.node import Node
 from chervilstep.queries.homes import live_instances, slot_homes
 from chervilstep.queries.warmth import may_eject
-from chervilstep.snapshot import Service
+from chervilstep.services import Service
 from chervilstep.types import Instant
 from chervilstep.warmth import COLD, WARM, Warmth
 from chervilstep.warmth_messages import Belief
--- /dev/null
+++ b/chervilstep/rates.py
@@ -0,0 +1,165 @@
+"""What this instance knows of how customers use their rates."""
+
+from collections.abc import Iterator, Mapping
+from typing import Final, final
+
+from chervilstep.types import Deadline, Instant
+
+#: A demand follows the calls of about this time.
+DEMAND_SECONDS: Final = 1.0
+#: A shorter time between two reports says nothing of a demand.
+MIN_REPORT_SECONDS: Final = 0.05
+#: How long a peer's demand counts after its last report.
+PEER_DEMAND_SECONDS: Final = 30.0
+
+
+@final
+class PeerDemand:
+    """The calls a second of one customer that a peer was asked for."""
+
+    __slots__ = ('_believed_until', '_calls_a_second')
+
+    def __init__(self, calls_a_second: float, believed_until: Deadline) -> None:
+        """Creates a demand that counts until ``believed_until``."""
+        self._calls_a_second = calls_a_second
+        self._believed_until = believed_until
+
+    @property
+    def calls_a_second(self) -> float:
+        """The demand that the peer reported."""
+        return self._calls_a_second
+
+    def is_believed(self, now: Instant) -> bool:
+        """Whether the report is recent enough to count."""
+        return not self._believed_until.has_passed(now)
+
+
+@final
+class Account:
+    """One customer's tokens, as far as this instance can tell.
+
+    ``level`` estimates what is left of the customer's bucket after the calls
+    of the whole fleet; ``part`` holds the tokens that this instance may spend
+    without regard to it.
+    """
+
+    __slots__ = (
+        '_admitted',
+        '_asked',
+        '_counted_at',
+        '_demand',
+        '_level',
+        '_part',
+        '_peers',
+        '_reported_at',
+    )
+
+    def __init__(self, level: float, now: Instant) -> None:
+        """Starts with ``level`` tokens and no demand."""
+        self._level = level
+        self._part = float(0)
+        self._counted_at = now
+        self._admitted = 0
+        self._asked = 0
+        self._demand = float(0)
+        self._peers: dict[str, PeerDemand] = {}
+        self._reported_at = now
+
+    @property
+    def level(self) -> float:
+        """Tokens of the fleet at ``counted_at``; below zero after excess."""
+        return self._level
+
+    @property
+    def part(self) -> float:
+        """Tokens that only this instance may spend, at ``counted_at``."""
+        return self._part
+
+    @property
+    def counted_at(self) -> Instant:
+        """When the tokens were counted."""
+        return self._counted_at
+
+    @property
+    def reported_at(self) -> Instant:
+        """When the peers were last told of this customer."""
+        return self._reported_at
+
+    @property
+    def admitted(self) -> int:
+        """Calls admitted here of which the peers were not told yet."""
+        return self._admitted
+
+    @property
+    def demand(self) -> float:
+        """Calls a second that this instance was asked for."""
+        return self._demand
+
+    @property
+    def peers(self) -> Mapping[str, PeerDemand]:
+        """The demand at each peer by its name."""
+        return self._peers
+
+    def count(self, level: float, part: float, now: Instant) -> None:
+        """Replaces the tokens by what they are at ``now``."""
+        self._level = level
+        self._part = part
+        self._counted_at = now
+
+    def ask(self) -> None:
+        """Counts a call that arrived here, whatever becomes of it."""
+        self._asked += 1
+
+    def admit(self, from_part: float) -> None:
+        """Takes one token, of which ``from_part`` come from the own part."""
+        self._level -= 1
+        self._part -= from_part
+        self._admitted += 1
+
+    def debit(self, tokens: float) -> None:
+        """Takes tokens that a peer has spent."""
+        self._level -= tokens
+
+    def hear(self, peer: str, demand: PeerDemand) -> None:
+        """Replaces the demand of a peer."""
+        self._peers[peer] = demand
+
+    def report(self, now: Instant) -> None:
+        """Starts a new report."""
+        seconds = max(MIN_REPORT_SECONDS, now - self._reported_at)
+        self._reported_at = now
+        weight = min(1, seconds / DEMAND_SECONDS)
+        self._demand += weight * (self._asked / seconds - self._demand)
+        self._asked = 0
+        self._admitted = 0
+
+
+@final
+class Rates:
+    """The accounts of all customers that called here or at a peer."""
+
+    __slots__ = ('_accounts',)
+
+    def __init__(self) -> None:
+        """Starts without accounts."""
+        self._accounts: dict[str, Account] = {}
+
+    def __iter__(self) -> Iterator[tuple[str, Account]]:
+        """Walks over the accounts by customer."""
+        return iter(self._accounts.items())
+
+    @property
+    def accounts(self) -> Mapping[str, Account]:
+        """The accounts by customer."""
+        return self._accounts
+
+    def open(self, customer: str, level: float, now: Instant) -> None:
+        """Creates an account, unless there is one."""
+        if customer not in self._accounts:
+            self._accounts[customer] = Account(level, now)
+
+    def keep(self, customers: frozenset[str]) -> None:
+        """Forgets the customers that are not in ``customers``."""
+        for name in tuple(self._accounts):
+            if name not in customers:
+                self._accounts.pop(name)
--- a/chervilstep/refusals.py
+++ b/chervilstep/refusals.py
@@ -121,6 +121,9 @@
 UPSTREAM_SHED: Final = new_refusal(
     'upstream-shed', 503, 'Every upstream that was tried shed the request.'
 )
+UPSTREAM_MOVED: Final = new_refusal(
+    'upstream-moved', 503, 'Another upstream has the address that was tried.'
+)
 UPSTREAM_UNREACHABLE: Final = new_refusal(
     'upstream-unreachable', 502, 'No upstream could be connected to.'
 )
--- a/chervilstep/retries.py
+++ b/chervilstep/retries.py
@@ -1,35 +1,31 @@
 """The budget that retries and hedges are paid from."""
 
+from collections.abc import Mapping
 from typing import Final, final
 
 from chervilstep.types import Instant
 
-#: Tokens that each admitted call earns; a retry or a hedge costs one.
-TOKENS_PER_CALL: Final = 0.2
-#: Tokens a second that the whole fleet gets without any call.
-FLEET_TOKENS_PER_SECOND: Final = 10
-#: Tokens that the whole fleet may have saved up.
-FLEET_TOKENS: Final = 60
+#: The part of the agreed ratio and reserve that is used: peers that come or go
+#: change the parts of a reserve within a window.
+USED_PART: Final = 0.8
+#: The part of a window's reserve that may be saved up.
+SAVED_PART: Final = 0.4
 
 
 @final
-class RetryBudget:
-    """This instance's share of the fleet's retries, as a token bucket.
-
-    The scheme is that of Finagle's RetryBudget: a part of the calls, and a
-    small reserve for services that are seldom called.
-    """
+class Balance:
+    """The tokens of one service at an instant."""
 
     __slots__ = ('_counted_at', '_tokens')
 
-    def __init__(self) -> None:
-        """Starts before the first call; ``tokens`` is None until then."""
-        self._tokens: float | None = None
-        self._counted_at: Instant = 0
+    def __init__(self, tokens: float, counted_at: Instant) -> None:
+        """Creates a balance of ``tokens`` at ``counted_at``."""
+        self._tokens = tokens
+        self._counted_at = counted_at
 
     @property
-    def tokens(self) -> float | None:
-        """The tokens at ``counted_at``, or None before the first count."""
+    def tokens(self) -> float:
+        """The tokens when they were counted."""
         return self._tokens
 
     @property
@@ -37,7 +33,32 @@
         """When the tokens were counted."""
         return self._counted_at
 
-    def count(self, tokens: float, now: Instant) -> None:
-        """Sets the number of tokens at ``now``."""
-        self._tokens = tokens
-        self._counted_at = now
+
+@final
+class RetryBudget:
+    """This instance's share of the fleet's retries, a bucket a service.
+
+    The scheme is that of Finagle's RetryBudget: a part of the calls, and a
+    small reserve for services that are seldom called.
+    """
+
+    __slots__ = ('_balances',)
+
+    def __init__(self) -> None:
+        """Starts before the first call."""
+        self._balances: dict[str, Balance] = {}
+
+    @property
+    def balances(self) -> Mapping[str, Balance]:
+        """The balances of the services that were called."""
+        return self._balances
+
+    def count(self, service: str, tokens: float, now: Instant) -> None:
+        """Sets the tokens of a service at ``now``."""
+        self._balances[service] = Balance(tokens, now)
+
+    def keep(self, services: frozenset[str]) -> None:
+        """Forgets the services that are not in ``services``."""
+        for name in tuple(self._balances):
+            if name not in services:
+                self._balances.pop(name)
--- a/chervilstep/snapshot.py
+++ b/chervilstep/snapshot.py
@@ -1,8 +1,11 @@
 """The configuration in force, as immutable values that the queries read."""
 
+import copy
 import enum
 from collections.abc import Iterable, Mapping
-from typing import final
+from typing import Final, final
+
+from chervilstep.services import Service
 
 
 @final
@@ -13,14 +16,6 @@
     WITHDRAWN = 'withdrawn'
 
 
-@final
-class UpstreamState(enum.Enum):
-    """Whether an upstream takes new work."""
-
-    ACTIVE = 'active'
-    LEAVING = 'leaving'
-
-
 @final
 class Priority(enum.IntEnum):
     """The order in which waiting requests are served; lower goes first."""
@@ -30,84 +25,44 @@
     BULK = 2
 
 
-@final
-class Upstream:
-    """One server of a service."""
-
-    __slots__ = ('_address', '_name', '_slots', '_state', '_zone')
-
-    def __init__(
-        self,
-        name: str,
-        address: str,
-        zone: str,
-        slots: int,
-        state: UpstreamState = UpstreamState.ACTIVE,
-    ) -> None:
-        """Creates an upstream that listens on ``address`` (``ip:port``)."""
-        self._name = name
-        self._address = address
-        self._zone = zone
-        self._slots = slots
-        self._state = state
-
-    @property
-    def name(self) -> str:
-        """The name, unique within the document."""
-        return self._name
-
-    @property
-    def address(self) -> str:
-        """The ``ip:port`` that the upstream listens on."""
-        return self._address
-
-    @property
-    def zone(self) -> str:
-        """The name of its availability zone."""
-        return self._zone
-
-    @property
-    def slots(self) -> int:
-        """How many requests it runs at once."""
-        return self._slots
-
-    @property
-    def is_leaving(self) -> bool:
-        """Whether the operators are taking it out."""
-        return self._state is UpstreamState.LEAVING
+#: Attempts of one request, the first one included, unless its route differs.
+MAX_ATTEMPTS: Final = 3
 
 
 @final
-class Service:
-    """A group of upstreams that run the same requests."""
+class RouteTerms:
+    """What only some deployments say of a route."""
 
-    __slots__ = ('_name', '_policy', '_upstreams')
+    __slots__ = ('_host', '_max_attempts', '_objective_seconds')
 
     def __init__(
         self,
-        name: str,
-        upstreams: Iterable[Upstream],
-        policy: str,
+        host: str = '',
+        max_attempts: int = MAX_ATTEMPTS,
+        objective_seconds: float | None = None,
     ) -> None:
-        """Creates a service whose upstreams are chosen by ``policy``."""
-        self._name = name
-        self._upstreams = tuple(upstreams)
-        self._policy = policy
+        """Creates terms; an empty ``host`` stands for any."""
+        self._host = host
+        self._max_attempts = max_attempts
+        self._objective_seconds = objective_seconds
 
     @property
-    def name(self) -> str:
-        """The name, unique within the document."""
-        return self._name
+    def host(self) -> str:
+        """The host that requests name."""
+        return self._host
 
     @property
-    def upstreams(self) -> tuple[Upstream, ...]:
-        """Every upstream, in the order of the document."""
-        return self._upstreams
+    def max_attempts(self) -> int:
+        """To how many upstreams one request may be sent."""
+        return self._max_attempts
 
     @property
-    def policy(self) -> str:
-        """The name of the policy that chooses among the upstreams."""
-        return self._policy
+    def objective_seconds(self) -> float | None:
+        """The latency that the operators aim at, if they named one."""
+        return self._objective_seconds
+
+
+NO_TERMS: Final = RouteTerms()
 
 
 @final
@@ -120,9 +75,11 @@
         '_is_open',
         '_methods',
         '_name',
+        '_parts',
         '_path',
         '_priority',
         '_service',
+        '_terms',
         '_timeout_seconds',
     )
 
@@ -140,6 +97,8 @@
         timeout_seconds: float,
     ) -> None:
         """Creates a route; ``idempotent`` names methods safe to resend."""
+        self._terms = NO_TERMS
+        self._parts: tuple[tuple[float, Route], ...] = ()
         self._name = name
         self._path = path
         self._service = service
@@ -185,11 +144,43 @@
         """The place of its requests in the queue."""
         return self._priority
 
+    @property
+    def host(self) -> str:
+        """The host that requests name; empty for any."""
+        return self._terms.host
+
+    @property
+    def max_attempts(self) -> int:
+        """To how many upstreams one request may be sent."""
+        return self._terms.max_attempts
+
+    @property
+    def objective_seconds(self) -> float | None:
+        """The latency that the operators aim at, if they named one."""
+        return self._terms.objective_seconds
+
+    @property
+    def parts(self) -> 'tuple[tuple[float, Route], ...]':
+        """The weights and the routes among which requests are split."""
+        return self._parts
+
     @property
     def timeout_seconds(self) -> float:
         """How long a request may take when its caller names no deadline."""
         return self._timeout_seconds
 
+    def under(self, terms: 'RouteTerms') -> 'Route':
+        """The same route under other terms."""
+        changed = copy.copy(self)
+        changed._terms = terms
+        return changed
+
+    def split(self, parts: 'Iterable[tuple[float, Route]]') -> 'Route':
+        """A route that splits its requests among ``parts`` by weight."""
+        changed = copy.copy(self)
+        changed._parts = tuple(parts)
+        return changed
+
     def is_idempotent(self, method: str) -> bool:
         """Whether a request with ``method`` may run more than once."""
         return method in self._idempotent
@@ -199,7 +190,7 @@
 class Customer:
     """Someone whose keys, rate and burst the document lists."""
 
-    __slots__ = ('_burst', '_digests', '_name', '_rate')
+    __slots__ = ('_burst', '_digests', '_name', '_priority', '_rate')
 
     def __init__(
         self,
@@ -207,8 +198,13 @@
         rate: float,
         burst: float,
         digests: Iterable[str],
+        priority: Priority | None = None,
     ) -> None:
-        """Creates a customer of ``rate`` requests a second and a burst."""
+        """Creates a customer of ``rate`` requests a second and a burst.
+
+        A rate of zero is no limit.
+        """
+        self._priority = priority
         self._name = name
         self._rate = rate
         self._burst = burst
@@ -229,6 +225,11 @@
         """Requests at once over all instances together."""
         return self._burst
 
+    @property
+    def priority(self) -> Priority | None:
+        """The class of its requests, when it goes before that of routes."""
+        return self._priority
+
     @property
     def digests(self) -> frozenset[str]:
         """SHA-256 digests of the keys, in lower-case hexadecimal."""
@@ -249,6 +250,7 @@
         '_customers',
         '_routes',
         '_services',
+        '_version',
         '_zones',
     )
 
@@ -258,14 +260,18 @@
         services: Iterable[Service],
         routes: Iterable[Route],
         customers: Iterable[Customer],
+        version: int | None = None,
     ) -> None:
         """Indexes the parts; the longest route prefix comes first."""
+        self._version = version
         self._zones = dict(zones)
         self._services = {service.name: service for service in services}
         self._routes = tuple(
             sorted(routes, key=lambda route: (-len(route.path), route.name))
         )
-        self._by_path = {route.path: route for route in self._routes}
+        self._by_path = {
+            (route.host, route.path): route for route in self._routes
+        }
         self._customers = {customer.name: customer for customer in customers}
         self._by_digest = {
             digest: customer
@@ -273,6 +279,11 @@
             for digest in customer.digests
         }
 
+    @property
+    def version(self) -> int | None:
+        """The operators' number, for a configuration that has one."""
+        return self._version
+
     @property
     def zones(self) -> Mapping[str, ZoneState]:
         """The state of each availability zone by its name."""
@@ -293,13 +304,22 @@
         """The customers by name."""
         return self._customers
 
+    def revised(
+        self, zones: Mapping[str, ZoneState], services: Iterable[Service]
+    ) -> 'Snapshot':
+        """A snapshot with the same routes and customers."""
+        revised = copy.copy(self)
+        revised._zones = dict(zones)
+        revised._services = {service.name: service for service in services}
+        return revised
+
     def is_withdrawn(self, zone: str) -> bool:
         """Whether ``zone`` takes no new work; an unknown zone takes none."""
         return self._zones.get(zone) is not ZoneState.IN_SERVICE
 
-    def route_by_path(self, prefix: str) -> Route | None:
-        """The route whose path is exactly ``prefix``."""
-        return self._by_path.get(prefix)
+    def route_by_path(self, prefix: str, host: str = '') -> Route | None:
+        """The route of a host whose path is exactly ``prefix``."""
+        return self._by_path.get((host, prefix))
 
     def customer_by_digest(self, digest: str) -> Customer | None:
         """The customer that holds the key of this digest."""
--- a/chervilstep/waiting.py
+++ b/chervilstep/waiting.py
@@ -7,7 +7,8 @@
 
 from chervilstep.progress import Progress
 from chervilstep.refusals import Refusal
-from chervilstep.snapshot import Priority, Upstream
+from chervilstep.services import Upstream
+from chervilstep.snapshot import Priority
 from chervilstep.types import Deadline, Instant
 
 #: Turns of each class while all of them wait: 16 to 4 to 1.
@@ -54,7 +55,7 @@
     @property
     def priority(self) -> Priority:
         """The class that its route puts it in."""
-        return self._progress.ticket.route.priority
+        return self._progress.ticket.priority
 
     @property
     def deadline(self) -> Deadline:
--- a/lab/candidates.py
+++ b/lab/candidates.py
@@ -3,7 +3,7 @@
 from chervilstep.hooks import POLICIES
 from chervilstep.node import Node
 from chervilstep.queries.homes import own_slots
-from chervilstep.snapshot import Service, Upstream
+from chervilstep.services import Service, Upstream
 from chervilstep.types import Instant
 
 #: What an own request in flight weighs against a request of a report.
--- a/tests/dispatch_builders.py
+++ b/tests/dispatch_builders.py
@@ -36,6 +36,7 @@
 VERDICTS = {
     Ending.ANSWERED: Verdict.RAN,
     Ending.SHED: Verdict.NOT_RUN,
+    Ending.MOVED: Verdict.NOT_RUN,
     Ending.CONNECT_FAILED: Verdict.NOT_RUN,
     Ending.LOST_BEFORE_WRITE: Verdict.NOT_RUN,
     Ending.LOST: Verdict.MAY_HAVE_RUN,
--- a/tests/document_builders.py
+++ b/tests/document_builders.py
@@ -4,9 +4,9 @@
 
 from chervilstep.commands.configuration import offer_sections
 from chervilstep.node import new_node
-from chervilstep.platform import PlatformAnswer, PlatformValue
 from chervilstep.queries.document import parse_section
 from chervilstep.types import Deadline
+from chervilstep.values import PlatformAnswer, PlatformValue
 from tests.builders import KEY, a_settings, digest_of
 from tests.wire_builders import an_instance
 
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -16,10 +16,10 @@
 from chervilstep.hooks import HANDLERS
 from chervilstep.members import Instance
 from chervilstep.node import new_node
-from chervilstep.platform import PlatformAnswer, PlatformValue
 from chervilstep.queries.overlay import neighbours
 from chervilstep.queries.relaying import Duty, duty_of
 from chervilstep.types import new_deadline
+from chervilstep.values import PlatformAnswer, PlatformValue
 from tests.builders import a_settings
 
 STEP_SECONDS = 0.125
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -7,7 +7,8 @@
 from chervilstep.commands.board import end_load, start_load
 from chervilstep.hooks import POLICIES
 from chervilstep.queries.choice import choose, has_any
-from chervilstep.snapshot import UpstreamState, ZoneState
+from chervilstep.services import UpstreamState
+from chervilstep.snapshot import ZoneState
 from chervilstep.types import new_deadline
 from tests.builders import (
     a_node,
--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -19,7 +19,8 @@
 )
 from chervilstep.commands.review import review_upstreams
 from chervilstep.queries.probes import probes_due
-from chervilstep.snapshot import Upstream, UpstreamState, ZoneState
+from chervilstep.services import Upstream, UpstreamState
+from chervilstep.snapshot import ZoneState
 from tests.builders import a_service, a_snapshot, an_upstream
 from tests.load_builders import (
     ENTRY_NAMES,
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -5,7 +5,8 @@
 from chervilstep import refusals
 from chervilstep.commands.queueing import enqueue, grant
 from chervilstep.queries import queueing
-from chervilstep.snapshot import Priority, Upstream
+from chervilstep.services import Upstream
+from chervilstep.snapshot import Priority
 from chervilstep.tails import MIN_ANSWERS
 from chervilstep.types import new_deadline
 from chervilstep.waiting import Waiter
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -3,7 +3,8 @@
 import asyncio
 
 from chervilstep.calls import Answer, Ending
-from chervilstep.snapshot import Priority, UpstreamState, ZoneState
+from chervilstep.services import UpstreamState
+from chervilstep.snapshot import Priority, ZoneState
 from lab.virtual_loop import run_virtually
 from tests.builders import (
     a_call,
--- a/tests/test_sources.py
+++ b/tests/test_sources.py
@@ -18,8 +18,8 @@
 from chervilstep.commands.configuration import offer_section
 from chervilstep.exceptions import PlatformError, UnknownName
 from chervilstep.node import new_node
-from chervilstep.platform import PlatformValue
 from chervilstep.queries.relaying import remaining_of
+from chervilstep.values import PlatformValue
 from lab.platform import Platform
 from lab.store import Store
 from tests.builders import KEY, a_settings, digest_of
