Spare bytes between zones, and race late attempts in place of cutting them

Ruled out: requests themselves (400 to 1,500 bytes an answer); by kind, 88 KB an instance were questions of the section relay, which has nothing to ask beside a copy of the store, and usage reports to every peer.

Now one instance of each zone reports usage to the others, routes with an objective are hedged and never cut, and a hedge without a slot is tried again.

--- a/chervilstep/adapters/peers.py
+++ b/chervilstep/adapters/peers.py
@@ -222,16 +222,17 @@
             recipients = tuple(self._streams)
         else:
             recipients = (letter.recipient,)
+        kind = letter.message.kind
         for name in recipients:
-            self._send(name, frame)
+            self._send(name, frame, kind)
 
-    def _send(self, name: str, frame: bytes) -> None:
+    def _send(self, name: str, frame: bytes, kind: str) -> None:
         stream = self._streams.get(name)
         if stream is None or stream.closed():
             self._node.counters.add('peer_messages_unsent')
             return
         self._node.counters.add('peer_messages_sent')
-        self._node.counters.add('peer_bytes_sent', len(frame))
+        self._node.counters.add('peer_bytes_sent', len(frame), kind=kind)
         try:
             written = stream.write(frame)
         except (iostream.StreamClosedError, iostream.StreamBufferFullError):
--- a/chervilstep/adapters/racing.py
+++ b/chervilstep/adapters/racing.py
@@ -2,11 +2,13 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Coroutine
-from typing import Any, TypeAlias, final
+from typing import Any, Final, TypeAlias, final
 
 from chervilstep.calls import Outcome
 from chervilstep.queries.outcomes import is_good_answer
 
+#: How soon a hedge that could not be started is tried again.
+RETRY_SECONDS: Final = 0.05
 #: Starts the hedge, or returns None when there is to be none.
 StartHedge: TypeAlias = Callable[[], Coroutine[object, None, Outcome] | None]
 
@@ -80,7 +82,12 @@
 
     def _begin(self) -> None:
         hedge = self._start_hedge()
-        if hedge is not None:
+        if hedge is None:
+            # There was no budget or no slot; there may be soon.
+            self._timer = asyncio.get_running_loop().call_later(
+                RETRY_SECONDS, self._begin
+            )
+        else:
             self._hedge = asyncio.get_running_loop().create_task(hedge)
             self._hedge.add_done_callback(self._end)
 
--- a/chervilstep/commands/listing.py
+++ b/chervilstep/commands/listing.py
@@ -31,7 +31,8 @@
 def request_instances(node: Node, now: Instant) -> None:
     """Asks a peer for the list, as long as there is none."""
     peers = live_peers(node, now)
-    if peers and not node.members.revision:
+    is_listed = node.members.revision or node.members.standings
+    if peers and not is_listed:
         node.outbox.put(node.rng.choice(peers), InstancesRequest())
 
 
--- a/chervilstep/commands/rates.py
+++ b/chervilstep/commands/rates.py
@@ -5,19 +5,20 @@
 from chervilstep.calls import Call, Ticket
 from chervilstep.exceptions import PeerError
 from chervilstep.hooks import CHARGES, HANDLERS, MESSAGES, REFUSED_CALLS, every
-from chervilstep.messages import EVERY_PEER, Message
+from chervilstep.messages import Message
 from chervilstep.node import Node
 from chervilstep.queries import rates as queries
+from chervilstep.queries.fleet import zone_peers
 from chervilstep.rates import PEER_DEMAND_SECONDS, Account, PeerDemand
 from chervilstep.refusals import RATE_EXCEEDED, Refusal
 from chervilstep.snapshot import Customer
 from chervilstep.types import Instant, new_deadline
 
 CHARGE_RANK: Final = 80
-#: How often peers are told; what they admit meanwhile is the excess.
+#: How often the peers of the own zone are told.
 REPORT_SECONDS: Final = 0.25
-#: How often peers hear of customers that are far from their limits.
-CALM_SECONDS: Final = 1.0
+#: How often zones tell each other; traffic between them is billed.
+ZONE_REPORT_SECONDS: Final = 0.5
 #: A demand below this is reported as none.
 LEAST_DEMAND: Final = 0.05
 
@@ -42,6 +43,34 @@
         return self._customers
 
 
+@MESSAGES.register('zone-usage')
+@final
+class ZoneUsage(Message):
+    """What all instances of one zone have spent, from one of them."""
+
+    __slots__ = ('_customers', '_zone')
+
+    kind = 'zone-usage'
+    fields = ('zone', 'customers')
+
+    def __init__(
+        self, zone: str, customers: dict[str, tuple[int, float]]
+    ) -> None:
+        """Creates a report of pairs of tokens and calls a second."""
+        self._zone = zone
+        self._customers = customers
+
+    @property
+    def zone(self) -> str:
+        """The zone that the report is of."""
+        return self._zone
+
+    @property
+    def customers(self) -> dict[str, tuple[int, float]]:
+        """Tokens spent and calls a second by customer."""
+        return self._customers
+
+
 @CHARGES.register(CHARGE_RANK)
 def charge_rate(node: Node, ticket: Ticket, now: Instant) -> None:
     """Takes one token of the ticket's customer."""
@@ -66,41 +95,82 @@
 
 @every(REPORT_SECONDS, 'usage')
 def report_usage(node: Node, now: Instant) -> None:
-    """Tells every peer what was spent here.
-
-    Customers with plenty of tokens left are reported less often.
-    """
+    """Tells the peers of the own zone what was spent here."""
     node.rates.keep(frozenset(node.snapshot.customers))
     report = {}
     for name, account in node.rates:
-        customer = node.snapshot.customers[name]
-        seconds = now - account.reported_at
-        if seconds < CALM_SECONDS and queries.is_shared(
-            node, customer, account, now
-        ):
-            continue
         admitted = account.admitted
         was_wanted = account.demand >= LEAST_DEMAND
         account.report(now)
+        node.rates.collect(name, admitted)
         if admitted or was_wanted:
             report[name] = (admitted, round(account.demand, 1))
     if report:
-        node.outbox.put(EVERY_PEER, Usage(report))
+        message = Usage(report)
+        for peer in zone_peers(node):
+            node.outbox.put(peer, message)
+
+
+@every(ZONE_REPORT_SECONDS, 'zone-usage')
+def report_zone(node: Node, now: Instant) -> None:
+    """Tells the speakers of other zones what was spent in this one."""
+    collected = node.rates.collected
+    node.rates.clear_collected()
+    others = queries.other_speakers(node)
+    if not others:
+        return
+    report = {}
+    for name, account in node.rates:
+        demand = queries.zone_demand(node, account, now)
+        tokens = collected.get(name, 0)
+        if tokens or demand >= LEAST_DEMAND:
+            report[name] = (tokens, round(demand, 1))
+    if report:
+        message = ZoneUsage(node.settings.zone, report)
+        for peer in others:
+            node.outbox.put(peer, message)
 
 
 @HANDLERS.register('usage')
 def take_usage(node: Node, peer: str, message: Message, now: Instant) -> None:
-    """Takes in what a peer spent."""
+    """Takes in what a peer of the own zone spent."""
     assert isinstance(message, Usage)
-    believed_until = new_deadline(now, PEER_DEMAND_SECONDS)
+    _take(node, peer, message.customers, now)
     for name, entry in message.customers.items():
+        if name in node.rates.accounts:
+            node.rates.collect(name, _numbers(entry)[0])
+
+
+@HANDLERS.register('zone-usage')
+def take_zone_usage(
+    node: Node, peer: str, message: Message, now: Instant
+) -> None:
+    """Takes in what another zone spent, and tells the own zone."""
+    assert isinstance(message, ZoneUsage)
+    if message.zone == node.settings.zone:
+        return
+    _take(node, queries.source_of(message.zone), message.customers, now)
+    sender = node.members.listed.get(peer)
+    if sender is not None and sender.zone == message.zone:
+        for neighbour in zone_peers(node):
+            node.outbox.put(neighbour, message)
+
+
+def _take(
+    node: Node,
+    source: str,
+    customers: dict[str, tuple[int, float]],
+    now: Instant,
+) -> None:
+    believed_until = new_deadline(now, PEER_DEMAND_SECONDS)
+    for name, entry in customers.items():
         customer = node.snapshot.customers.get(name)
         if customer is None:
             continue
         tokens, demand = _numbers(entry)
         account = _count(node, customer, now)
         account.debit(tokens)
-        account.hear(peer, PeerDemand(demand, believed_until))
+        account.hear(source, PeerDemand(demand, believed_until))
 
 
 def _count(node: Node, customer: Customer, now: Instant) -> Account:
@@ -115,7 +185,7 @@
     return account
 
 
-def _numbers(entry: object) -> tuple[float, float]:
+def _numbers(entry: object) -> tuple[int, float]:
     if not isinstance(entry, (list, tuple)) or len(entry) != 2:
         raise PeerError('a report of usage is not a pair')
     tokens, demand = entry
--- a/chervilstep/commands/relaying.py
+++ b/chervilstep/commands/relaying.py
@@ -29,7 +29,12 @@
 
 @every(INQUIRY_PERIOD_SECONDS, 'config-inquiries')
 def inquire(node: Node, now: Instant) -> None:
-    """Asks some peers whether they know of the same sections."""
+    """Asks some peers whether they know of the same sections.
+
+    A copy of the platform's store has no sections to ask for.
+    """
+    if node.replica.is_followed:
+        return
     relay = node.relay
     if relay.introduce_by is None:
         relay.start(
--- a/chervilstep/platform/following.py
+++ b/chervilstep/platform/following.py
@@ -20,7 +20,7 @@
 WATCH_SECONDS: Final = 6.0
 #: How long changes are left to gather before the next watch: a fraction of
 #: the time in which a change has to be in force.
-GATHER_SECONDS: Final = 0.4
+GATHER_SECONDS: Final = 0.6
 #: The first pause after a failure, which doubles up to the longest.
 MIN_PAUSE_SECONDS: Final = 0.1
 MAX_PAUSE_SECONDS: Final = 0.8
--- a/chervilstep/queries/attempting.py
+++ b/chervilstep/queries/attempting.py
@@ -15,9 +15,6 @@
 #: An attempt gets at least this multiple of the tail of its service.
 TAIL_MULTIPLE: Final = 1.5
 
-#: An attempt gets at least this multiple of its route's objective.
-OBJECTIVE_MULTIPLE: Final = 1.25
-
 
 def new_attempt(
     node: Node, progress: Progress, upstream: Upstream, now: Instant
@@ -45,18 +42,24 @@
     not run twice, gets all of it: giving up earlier could not help it.
     """
     deadline = progress.ticket.deadline
-    if not has_successor(progress):
+    if not has_successor(progress) or is_hedged(progress):
         return deadline
     seconds = deadline.remaining(now) * ATTEMPT_SHARE
-    objective = progress.ticket.route.objective_seconds
-    if objective is not None:
-        seconds = max(seconds, objective * OBJECTIVE_MULTIPLE)
     tail = node.tails.by_service.get(progress.ticket.route.service)
     if tail is not None and tail.seconds is not None:
         seconds = max(seconds, tail.seconds * TAIL_MULTIPLE)
     return new_deadline(now, seconds).earlier(deadline)
 
 
+def is_hedged(progress: Progress) -> bool:
+    """Whether a late attempt is raced by another one and not given up.
+
+    Where an objective says when an attempt is late, the work that was done
+    for it is kept.
+    """
+    return progress.ticket.route.objective_seconds is not None
+
+
 def has_successor(progress: Progress) -> bool:
     """Whether a silent attempt could be followed by another one."""
     ticket = progress.ticket
--- a/chervilstep/queries/rates.py
+++ b/chervilstep/queries/rates.py
@@ -1,7 +1,7 @@
 """Whether a customer's rate lets a call pass.
 
-Every instance counts the calls of the whole fleet, from what its peers report
-four times a second. While at least half of the burst is left, calls pass
+Every instance counts the calls of the whole fleet: those of its own zone from
+its peers' reports, those of other zones from one instance of each. While at least half of the burst is left, calls pass
 wherever they arrive. Below that each instance keeps to its part of the rate,
 in proportion to the demand that it sees, as in the flow proportional share of
 Raghavan et al., "Cloud Control with Distributed Rate Limiting" (2007).
@@ -27,11 +27,15 @@
 SHARED_BURST: Final = 0.5
 #: The part of the agreed excess that reports on their way may use up.
 USED_EXCESS: Final = 0.6
-#: The depth of the own part, in seconds of its rate.
+#: The depth of the own part, in seconds of its rate, and at least in tokens:
+#: two calls of a caller often come together.
 PART_SECONDS: Final = 0.5
+MIN_PART: Final = 2
 #: A demand that everyone is taken to have, in calls a second, so that a new
 #: instance has a part before its first report.
 BASE_DEMAND: Final = 0.2
+#: Stands before the names of zones among the sources of demand.
+_ZONE_MARK: Final = 'zone/'
 #: After an excess the own parts mint this much of the rate.
 REPAYING: Final = 0.9
 
@@ -63,7 +67,7 @@
     proportion to what was spent here.
     """
     own = own_share(node, account, now)
-    unheard = account.admitted * (1 / own - 1)
+    unheard = account.recent * (1 / own - 1)
     tokens = level(node, customer, account, now) - unheard
     fraction = heard_fraction(node)
     reserve = customer.burst * SHARED_BURST
@@ -87,7 +91,7 @@
     """The tokens at ``now`` that only this instance may spend."""
     rate = part_rate(node, customer, account, now)
     elapsed = max(0, now - account.counted_at)
-    depth = max(1, rate * PART_SECONDS)
+    depth = max(MIN_PART, rate * PART_SECONDS)
     return min(depth, account.part + elapsed * rate)
 
 
@@ -111,6 +115,39 @@
     return own / whole
 
 
+def zone_demand(node: Node, account: Account, now: Instant) -> float:
+    """The calls a second that arrive in this instance's zone."""
+    return account.demand + sum(
+        demand.calls_a_second
+        for source, demand in account.peers.items()
+        if demand.is_believed(now) and not source.startswith(_ZONE_MARK)
+    )
+
+
+def source_of(zone: str) -> str:
+    """The name under which the demand of another zone is kept."""
+    return f'{_ZONE_MARK}{zone}'
+
+
+def other_speakers(node: Node) -> tuple[str, ...]:
+    """The instances that hear for the other zones, if this speaks for its.
+
+    The instance with the lowest name speaks for its zone. Two that both do
+    so for a moment make the customers' tokens look fewer, never more.
+    """
+    members = node.members
+    heard = {name for name, view in members.views.items() if view.is_heard}
+    speakers: dict[str, str] = {}
+    for name, instance in members.listed.items():
+        if name in heard or name == members.self_name:
+            first = speakers.get(instance.zone, name)
+            speakers[instance.zone] = min(first, name)
+    own = speakers.pop(node.settings.zone, None)
+    if own != members.self_name:
+        return ()
+    return tuple(speakers.values())
+
+
 def excess(node: Node, customer: Customer) -> float:
     """The tokens by which the fleet may be in debt before all is refused."""
     allowances = node.settings.allowances
--- a/chervilstep/rates.py
+++ b/chervilstep/rates.py
@@ -51,6 +51,7 @@
         '_level',
         '_part',
         '_peers',
+        '_previous',
         '_reported_at',
     )
 
@@ -60,6 +61,7 @@
         self._part = float(0)
         self._counted_at = now
         self._admitted = 0
+        self._previous = 0
         self._asked = 0
         self._demand = float(0)
         self._peers: dict[str, PeerDemand] = {}
@@ -90,6 +92,11 @@
         """Calls admitted here of which the peers were not told yet."""
         return self._admitted
 
+    @property
+    def recent(self) -> int:
+        """Calls admitted here since the report before the last one."""
+        return self._admitted + self._previous
+
     @property
     def demand(self) -> float:
         """Calls a second that this instance was asked for."""
@@ -131,6 +138,7 @@
         weight = min(1, seconds / DEMAND_SECONDS)
         self._demand += weight * (self._asked / seconds - self._demand)
         self._asked = 0
+        self._previous = self._admitted
         self._admitted = 0
 
 
@@ -138,11 +146,12 @@
 class Rates:
     """The accounts of all customers that called here or at a peer."""
 
-    __slots__ = ('_accounts',)
+    __slots__ = ('_accounts', '_collected')
 
     def __init__(self) -> None:
         """Starts without accounts."""
         self._accounts: dict[str, Account] = {}
+        self._collected: dict[str, int] = {}
 
     def __iter__(self) -> Iterator[tuple[str, Account]]:
         """Walks over the accounts by customer."""
@@ -153,6 +162,21 @@
         """The accounts by customer."""
         return self._accounts
 
+    @property
+    def collected(self) -> Mapping[str, int]:
+        """Tokens spent in this zone of which other zones were not told."""
+        return dict(self._collected)
+
+    def collect(self, customer: str, tokens: int) -> None:
+        """Adds tokens that were spent in this zone."""
+        if tokens:
+            known = self._collected.get(customer, 0)
+            self._collected[customer] = known + tokens
+
+    def clear_collected(self) -> None:
+        """Notes that the other zones were told."""
+        self._collected = {}
+
     def open(self, customer: str, level: float, now: Instant) -> None:
         """Creates an account, unless there is one."""
         if customer not in self._accounts:
