Keep the rates' excess over partitions; greet new peers at once

Cause (found by tests in virtual time): right after a start nobody passed news on, since a peer counted only once its heartbeat had come; five of 14 instances cut off one by one at five times the load admitted 607 calls of a customer in a window that allows 320, since each took its growing demand for a growing part, and others' silence for idleness.

Now a stream counts from its opening, with a heartbeat and the whole table sent first; parts go by the number of instances heard, a demand that grew since the last reports gives no larger part, and reports on their way are extrapolated.

--- a/chervilstep/adapters/peers.py
+++ b/chervilstep/adapters/peers.py
@@ -14,7 +14,11 @@
     keep_alive,
 )
 from chervilstep.commands import gossip as gossip_commands
-from chervilstep.commands.membership import ALIVE_SECONDS, lose_peer
+from chervilstep.commands.membership import (
+    ALIVE_SECONDS,
+    greet_peer,
+    lose_peer,
+)
 from chervilstep.exceptions import PeerError
 from chervilstep.hooks import HANDLERS
 from chervilstep.messages import EVERY_PEER, Letter
@@ -196,7 +200,7 @@
         keep_alive(stream.socket)
         self._streams[name] = stream
         self._node.counters.add('peer_streams_opened')
-        gossip_commands.greet(self._node, name)
+        greet_peer(self._node, name, self._clock())
         _log.info('peer_connected', peer=name)
 
     async def _read_all(self, name: str, stream: iostream.IOStream) -> None:
--- a/chervilstep/commands/gossip.py
+++ b/chervilstep/commands/gossip.py
@@ -21,6 +21,8 @@
 #: How many peers hear of a change from each instance that learns of it.
 FANOUT: Final = 3
 REVIEW_SECONDS: Final = 0.25
+#: How often each instance tells one other all that it knows.
+COMPARE_SECONDS: Final = 10.0
 FIRST_VERSION: Final = 1
 #: The name, the zone and the two addresses come first in an entry.
 _TEXTS: Final = 4
@@ -67,10 +69,20 @@
 
 def greet(node: Node, peer: str) -> None:
     """Tells a peer with a new stream all that is known of the fleet."""
+    node.members.view(peer).open()
     if node.members.standings:
         node.outbox.put(peer, Standings(queries.entries(node)))
 
 
+@every(COMPARE_SECONDS, 'compare-standings')
+def compare_standings(node: Node, now: Instant) -> None:
+    """Tells one peer everything, lest a broken stream has lost some news."""
+    heard = queries.heard_peers(node)
+    if heard and node.members.standings:
+        peer = node.rng.choice(heard)
+        node.outbox.put(peer, Standings(queries.entries(node)))
+
+
 def suspect(node: Node, name: str, now: Instant) -> None:
     """Suspects a peer whose stream broke, and tells others."""
     known = node.members.standings.get(name)
@@ -147,7 +159,7 @@
 
 
 def _spread(node: Node, news: list[Standing]) -> None:
-    heard = [name for name, view in node.members.views.items() if view.is_heard]
+    heard = queries.heard_peers(node)
     if not news or not heard:
         return
     message = Standings(map(queries.entry_of, news))
--- a/chervilstep/commands/membership.py
+++ b/chervilstep/commands/membership.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from typing import Final, final
 
+from chervilstep.commands.gossip import greet
 from chervilstep.hooks import FAREWELLS, HANDLERS, MESSAGES, every
 from chervilstep.members import Instance
 from chervilstep.messages import EVERY_PEER, Message
@@ -51,12 +52,13 @@
 @every(HEARTBEAT_SECONDS, 'heartbeat')
 def send_heartbeat(node: Node, now: Instant) -> None:
     """Tells every peer that this instance is alive."""
-    node.outbox.put(
-        EVERY_PEER,
-        Heartbeat(
-            own_load(node, now), is_ready(node, now), node.members.is_leaving
-        ),
-    )
+    node.outbox.put(EVERY_PEER, _heartbeat(node, now))
+
+
+def greet_peer(node: Node, name: str, now: Instant) -> None:
+    """Tells a peer with a new stream of this instance and of the others."""
+    node.outbox.put(name, _heartbeat(node, now))
+    greet(node, name)
 
 
 @HANDLERS.register('heartbeat')
@@ -85,6 +87,12 @@
     node.members.replace(revision, instances)
 
 
+def _heartbeat(node: Node, now: Instant) -> Heartbeat:
+    return Heartbeat(
+        own_load(node, now), is_ready(node, now), node.members.is_leaving
+    )
+
+
 @FAREWELLS.register(rank=0)
 def announce_leaving(node: Node, now: Instant) -> None:
     """Marks this instance as leaving and tells the peers at once."""
--- a/chervilstep/commands/rates.py
+++ b/chervilstep/commands/rates.py
@@ -9,14 +9,12 @@
 from chervilstep.node import Node
 from chervilstep.queries import rates as queries
 from chervilstep.queries.fleet import zone_peers
-from chervilstep.rates import PEER_DEMAND_SECONDS, Account, PeerDemand
+from chervilstep.rates import REPORT_SECONDS, Account, PeerDemand
 from chervilstep.refusals import RATE_EXCEEDED, Refusal
 from chervilstep.snapshot import Customer
-from chervilstep.types import Instant, new_deadline
+from chervilstep.types import Instant
 
 CHARGE_RANK: Final = 80
-#: How often the peers of the own zone are told.
-REPORT_SECONDS: Final = 0.25
 #: How often zones tell each other; traffic between them is billed.
 ZONE_REPORT_SECONDS: Final = 0.5
 #: A demand below this is reported as none.
@@ -48,16 +46,17 @@
 class ZoneUsage(Message):
     """What all instances of one zone have spent, from one of them."""
 
-    __slots__ = ('_customers', '_zone')
+    __slots__ = ('_customers', '_silent', '_zone')
 
     kind = 'zone-usage'
-    fields = ('zone', 'customers')
+    fields = ('zone', 'silent', 'customers')
 
     def __init__(
-        self, zone: str, customers: dict[str, tuple[int, float]]
+        self, zone: str, silent: int, customers: dict[str, tuple[int, float]]
     ) -> None:
         """Creates a report of pairs of tokens and calls a second."""
         self._zone = zone
+        self._silent = silent
         self._customers = customers
 
     @property
@@ -65,6 +64,11 @@
         """The zone that the report is of."""
         return self._zone
 
+    @property
+    def silent(self) -> int:
+        """How many instances of the zone the sender does not hear from."""
+        return self._silent
+
     @property
     def customers(self) -> dict[str, tuple[int, float]]:
         """Tokens spent and calls a second by customer."""
@@ -114,21 +118,15 @@
 @every(ZONE_REPORT_SECONDS, 'zone-usage')
 def report_zone(node: Node, now: Instant) -> None:
     """Tells the speakers of other zones what was spent in this one."""
-    collected = node.rates.collected
-    node.rates.clear_collected()
-    others = queries.other_speakers(node)
-    if not others:
-        return
-    report = {}
-    for name, account in node.rates:
-        demand = queries.zone_demand(node, account, now)
-        tokens = collected.get(name, 0)
-        if tokens or demand >= LEAST_DEMAND:
-            report[name] = (tokens, round(demand, 1))
-    if report:
-        message = ZoneUsage(node.settings.zone, report)
-        for peer in others:
-            node.outbox.put(peer, message)
+    report = _zone_report(node, now)
+    wanted = frozenset(
+        customer for customer, entry in report.items() if entry[1]
+    )
+    node.rates.clear_collected(wanted)
+    silent = len(queries.silent_peers(node, None, now))
+    message = ZoneUsage(node.settings.zone, silent, report)
+    for peer in queries.other_speakers(node):
+        node.outbox.put(peer, message)
 
 
 @HANDLERS.register('usage')
@@ -149,6 +147,9 @@
     assert isinstance(message, ZoneUsage)
     if message.zone == node.settings.zone:
         return
+    if not isinstance(message.silent, int):
+        raise PeerError('a report of usage is not of numbers')
+    node.rates.note_silent(message.zone, message.silent)
     _take(node, queries.source_of(message.zone), message.customers, now)
     sender = node.members.listed.get(peer)
     if sender is not None and sender.zone == message.zone:
@@ -156,13 +157,24 @@
             node.outbox.put(neighbour, message)
 
 
+def _zone_report(node: Node, now: Instant) -> dict[str, tuple[int, float]]:
+    collected = node.rates.collected
+    report = {}
+    for name, account in node.rates:
+        demand = round(queries.zone_demand(node, account, now), 1)
+        tokens = collected.get(name, 0)
+        # The end of a demand is told as well.
+        if tokens or demand or name in node.rates.reported:
+            report[name] = (tokens, demand)
+    return report
+
+
 def _take(
     node: Node,
     source: str,
     customers: dict[str, tuple[int, float]],
     now: Instant,
 ) -> None:
-    believed_until = new_deadline(now, PEER_DEMAND_SECONDS)
     for name, entry in customers.items():
         customer = node.snapshot.customers.get(name)
         if customer is None:
@@ -170,7 +182,7 @@
         tokens, demand = _numbers(entry)
         account = _count(node, customer, now)
         account.debit(tokens)
-        account.hear(source, PeerDemand(demand, believed_until))
+        account.hear(source, PeerDemand(demand, now))
 
 
 def _count(node: Node, customer: Customer, now: Instant) -> Account:
--- a/chervilstep/members.py
+++ b/chervilstep/members.py
@@ -84,7 +84,7 @@
 
     @property
     def is_heard(self) -> bool:
-        """Whether there is a stream on which the peer has spoken."""
+        """Whether there is a stream to the peer."""
         return self._is_heard
 
     @property
@@ -123,6 +123,10 @@
         self._is_leaving = self._is_leaving or is_leaving
         self._load = load
 
+    def open(self) -> None:
+        """Notes that there is a stream to the peer."""
+        self._is_heard = True
+
     def lose(self) -> None:
         """Notes that the stream to the peer broke.
 
--- a/chervilstep/queries/fleet.py
+++ b/chervilstep/queries/fleet.py
@@ -1,25 +1,30 @@
-"""How much of the fleet this instance hears from."""
+"""How large the fleet is, and which part of it this instance hears from."""
 
-from typing import Final
+from collections import Counter
+from collections.abc import Mapping
 
+from chervilstep.members import Instance
 from chervilstep.node import Node
 
-#: Instances that are not heard of may have failed: the others may take over
-#: this much of their part, which the agreed excess of the rates covers.
-TAKEN_OVER: Final = 1.2
 
+def known_instances(node: Node) -> Mapping[str, Instance]:
+    """The instances by name, without those that have left.
 
-def known_size(node: Node) -> int:
-    """How many instances there are, those lost lately included."""
+    Those lost lately are among them: they may be cut off and serve on.
+    """
     members = node.members
-    return len({members.self_name, *members.listed, *members.lost})
+    lost = {name: members.standings[name].instance for name in members.lost}
+    return {**lost, **members.listed}
 
 
-def heard_size(node: Node) -> int:
-    """How many instances this one hears from, itself included."""
-    members = node.members
-    heard = {name for name, view in members.views.items() if view.is_heard}
-    return len({members.self_name, *heard})
+def known_size(node: Node) -> int:
+    """How many instances there are, this one included."""
+    return len({node.members.self_name, *known_instances(node)})
+
+
+def zone_sizes(node: Node) -> Mapping[str, int]:
+    """How many of the known instances there are in each zone."""
+    return Counter(each.zone for each in known_instances(node).values())
 
 
 def zone_peers(node: Node) -> tuple[str, ...]:
@@ -32,8 +37,3 @@
         and name in members.listed
         and members.listed[name].zone == node.settings.zone
     )
-
-
-def heard_fraction(node: Node) -> float:
-    """The part of a limit that those who hear from each other may use."""
-    return min(1, TAKEN_OVER * heard_size(node) / known_size(node))
--- a/chervilstep/queries/gossip.py
+++ b/chervilstep/queries/gossip.py
@@ -71,6 +71,12 @@
     return (*texts, standing.version, standing.condition.value)
 
 
+def heard_peers(node: Node) -> tuple[str, ...]:
+    """The peers to which there is a stream."""
+    views = node.members.views
+    return tuple(name for name, view in views.items() if view.is_heard)
+
+
 def sought(node: Node, now: Instant) -> frozenset[str]:
     """The instances that are dialled although they are not listed.
 
--- a/chervilstep/queries/grounds.py
+++ b/chervilstep/queries/grounds.py
@@ -4,8 +4,8 @@
 
 from chervilstep.calls import Call
 from chervilstep.node import Node
-from chervilstep.queries.fleet import heard_size, known_size
-from chervilstep.queries.rates import level, part, part_rate
+from chervilstep.queries.fleet import known_size
+from chervilstep.queries.rates import level, part, part_rate, silent_size
 from chervilstep.refusals import RATE_EXCEEDED, Refusal
 from chervilstep.types import Instant
 
@@ -28,6 +28,6 @@
         'part': round(part(node, customer, account, now), 2),
         'part_rate': round(part_rate(node, customer, account, now), 2),
         'demand': round(account.demand, 1),
-        'heard': heard_size(node),
+        'silent': silent_size(node, account, now),
         'known': known_size(node),
     }
--- a/chervilstep/queries/rates.py
+++ b/chervilstep/queries/rates.py
@@ -15,8 +15,8 @@
 from chervilstep.calls import Ticket
 from chervilstep.hooks import CHECKS, STATUS_PARTS
 from chervilstep.node import Node
-from chervilstep.queries.fleet import heard_fraction, known_size
-from chervilstep.rates import Account
+from chervilstep.queries.fleet import known_instances, known_size, zone_sizes
+from chervilstep.rates import REPORT_SECONDS, Account
 from chervilstep.refusals import RATE_EXCEEDED, Refusal
 from chervilstep.snapshot import Customer
 from chervilstep.types import Instant
@@ -34,10 +34,15 @@
 #: A demand that everyone is taken to have, in calls a second, so that a new
 #: instance has a part before its first report.
 BASE_DEMAND: Final = 0.2
+#: Calls of one instance that may come together by chance.
+CHANCE_CALLS: Final = 2
+#: The others may take over so many times their part from those that have
+#: fallen silent, which the agreed excess covers.
+TAKEN_OVER: Final = 1.1
 #: Stands before the names of zones among the sources of demand.
 _ZONE_MARK: Final = 'zone/'
-#: After an excess the own parts mint this much of the rate.
-REPAYING: Final = 0.9
+#: By how much the own parts mint less when the whole excess is used up.
+REPAYMENT: Final = 0.5
 
 
 @CHECKS.register(RATE_RANK)
@@ -63,25 +68,73 @@
 ) -> bool:
     """Whether so much is left that calls pass wherever they arrive.
 
-    What peers have spent since their last reports is taken to be in
-    proportion to what was spent here.
+    Reports of what peers have spent are on their way: their demand tells how
+    much that is. When more arrives here than the own demand explains, the
+    same is taken to be so at the peers.
     """
     own = own_share(node, account, now)
-    unheard = account.recent * (1 / own - 1)
+    unheard = surprise(account) * (1 / own - 1)
+    unheard += sum(
+        demand.calls_a_second * demand.overdue(now)
+        for demand in account.peers.values()
+    )
     tokens = level(node, customer, account, now) - unheard
-    fraction = heard_fraction(node)
-    reserve = customer.burst * SHARED_BURST
-    if fraction < 1:
-        reserve = customer.burst * (1 - fraction * (1 - SHARED_BURST))
+    fraction = heard_fraction(node, account, now)
+    reserve = customer.burst * (1 - fraction * (1 - SHARED_BURST))
     return tokens >= max(1, reserve)
 
 
+def surprise(account: Account) -> float:
+    """Calls admitted here of late beyond what the demand explains."""
+    expected = account.demand * REPORT_SECONDS * 2
+    return max(0, account.recent - expected - CHANCE_CALLS)
+
+
+def heard_fraction(node: Node, account: Account, now: Instant) -> float:
+    """The part of the rate that those who hear from each other may use.
+
+    Instances that have fallen silent may have failed, or be cut off and
+    spend their part. It is a part by number: a demand that grows on one side
+    of a partition gives that side no larger part.
+    """
+    known = known_size(node)
+    silent = silent_size(node, account, now)
+    return min(1, TAKEN_OVER * max(1, known - silent) / known)
+
+
+def silent_size(node: Node, account: Account, now: Instant) -> int:
+    """How many instances may spend tokens without being heard."""
+    silent = len(silent_peers(node, account, now))
+    for zone, size in zone_sizes(node).items():
+        if zone == node.settings.zone:
+            continue
+        demand = account.peers.get(source_of(zone))
+        if demand is not None and demand.is_silent(now):
+            silent += size
+        else:
+            silent += min(size, node.rates.silent_by_zone.get(zone, 0))
+    return silent
+
+
+def silent_peers(
+    node: Node, account: Account | None, now: Instant
+) -> frozenset[str]:
+    """The instances of the own zone that are not heard of."""
+    return frozenset(
+        name
+        for name, instance in known_instances(node).items()
+        if instance.zone == node.settings.zone
+        and name != node.members.self_name
+        and _is_silent(node, account, name, now)
+    )
+
+
 def level(
     node: Node, customer: Customer, account: Account, now: Instant
 ) -> float:
     """The customer's tokens in the whole fleet at ``now``."""
     elapsed = max(0, now - account.counted_at)
-    minted = elapsed * customer.rate * heard_fraction(node)
+    minted = elapsed * customer.rate * heard_fraction(node, account, now)
     return min(customer.burst, account.level + minted)
 
 
@@ -99,19 +152,23 @@
     node: Node, customer: Customer, account: Account, now: Instant
 ) -> float:
     """The tokens a second that this instance mints for itself."""
-    repaying = REPAYING if account.level < 0 else 1
-    return customer.rate * repaying * own_share(node, account, now)
+    debt = min(1, max(0, -account.level) / excess(node, customer))
+    repaying = 1 - debt * REPAYMENT
+    fraction = heard_fraction(node, account, now)
+    share = own_share(node, account, now)
+    return customer.rate * repaying * fraction * share
 
 
 def own_share(node: Node, account: Account, now: Instant) -> float:
-    """The part of the customer's calls that arrive at this instance."""
+    """The part of the calls that arrive here, among those heard from."""
     others = sum(
         demand.calls_a_second
         for demand in account.peers.values()
-        if demand.is_believed(now)
+        if not demand.is_silent(now)
     )
-    own = account.demand + BASE_DEMAND
-    whole = account.demand + others + BASE_DEMAND * known_size(node)
+    heard = max(1, known_size(node) - silent_size(node, account, now))
+    own = account.settled_demand + BASE_DEMAND
+    whole = account.settled_demand + others + BASE_DEMAND * heard
     return own / whole
 
 
@@ -120,7 +177,7 @@
     return account.demand + sum(
         demand.calls_a_second
         for source, demand in account.peers.items()
-        if demand.is_believed(now) and not source.startswith(_ZONE_MARK)
+        if not demand.is_silent(now) and not source.startswith(_ZONE_MARK)
     )
 
 
@@ -156,6 +213,16 @@
     return agreed * USED_EXCESS
 
 
+def _is_silent(
+    node: Node, account: Account | None, name: str, now: Instant
+) -> bool:
+    view = node.members.views.get(name)
+    if view is None or not view.is_heard:
+        return True
+    demand = account.peers.get(name) if account else None
+    return demand is not None and demand.is_silent(now)
+
+
 @STATUS_PARTS.register('rates')
 def describe_rates(node: Node, now: Instant) -> object:
     """The tokens and the demand of each customer with calls."""
--- a/chervilstep/rates.py
+++ b/chervilstep/rates.py
@@ -1,5 +1,6 @@
 """What this instance knows of how customers use their rates."""
 
+from collections import deque
 from collections.abc import Iterator, Mapping
 from typing import Final, final
 
@@ -9,6 +10,13 @@
 DEMAND_SECONDS: Final = 1.0
 #: A shorter time between two reports says nothing of a demand.
 MIN_REPORT_SECONDS: Final = 0.05
+#: How often the peers of the own zone are told.
+REPORT_SECONDS: Final = 0.25
+#: A source of demand that says nothing for so long has fallen silent.
+FRESH_SECONDS: Final = 1.25
+#: Demands of the past that are kept: as many as there are reports in the time
+#: after which a source counts as silent.
+DEMANDS_KEPT: Final = int(FRESH_SECONDS / REPORT_SECONDS) + 1
 #: How long a peer's demand counts after its last report.
 PEER_DEMAND_SECONDS: Final = 30.0
 
@@ -17,21 +25,36 @@
 class PeerDemand:
     """The calls a second of one customer that a peer was asked for."""
 
-    __slots__ = ('_believed_until', '_calls_a_second')
+    __slots__ = (
+        '_calls_a_second',
+        '_forgotten_at',
+        '_heard_at',
+        '_silent_after',
+    )
 
-    def __init__(self, calls_a_second: float, believed_until: Deadline) -> None:
-        """Creates a demand that counts until ``believed_until``."""
+    def __init__(self, calls_a_second: float, heard_at: Instant) -> None:
+        """Creates a demand that was heard of at ``heard_at``."""
         self._calls_a_second = calls_a_second
-        self._believed_until = believed_until
+        self._heard_at = heard_at
+        self._silent_after = Deadline(heard_at + FRESH_SECONDS)
+        self._forgotten_at = Deadline(heard_at + PEER_DEMAND_SECONDS)
 
     @property
     def calls_a_second(self) -> float:
         """The demand that the peer reported."""
         return self._calls_a_second
 
-    def is_believed(self, now: Instant) -> bool:
-        """Whether the report is recent enough to count."""
-        return not self._believed_until.has_passed(now)
+    def overdue(self, now: Instant) -> float:
+        """The seconds since the report, while the next one is awaited."""
+        if self._silent_after.has_passed(now):
+            return 0
+        return max(0, now - self._heard_at)
+
+    def is_silent(self, now: Instant) -> bool:
+        """Whether the source had a demand and says nothing any more."""
+        if not self._calls_a_second or self._forgotten_at.has_passed(now):
+            return False
+        return self._silent_after.has_passed(now)
 
 
 @final
@@ -48,6 +71,7 @@
         '_asked',
         '_counted_at',
         '_demand',
+        '_demands',
         '_level',
         '_part',
         '_peers',
@@ -64,6 +88,7 @@
         self._previous = 0
         self._asked = 0
         self._demand = float(0)
+        self._demands: deque[float] = deque(maxlen=DEMANDS_KEPT)
         self._peers: dict[str, PeerDemand] = {}
         self._reported_at = now
 
@@ -102,6 +127,15 @@
         """Calls a second that this instance was asked for."""
         return self._demand
 
+    @property
+    def settled_demand(self) -> float:
+        """The demand, without what it grew by since peers fell silent.
+
+        Whoever is cut off notices that late; until then a growing demand
+        must not look like a growing part of everyone's.
+        """
+        return min(self._demand, *self._demands, self._demand)
+
     @property
     def peers(self) -> Mapping[str, PeerDemand]:
         """The demand at each peer by its name."""
@@ -135,6 +169,7 @@
         """Starts a new report."""
         seconds = max(MIN_REPORT_SECONDS, now - self._reported_at)
         self._reported_at = now
+        self._demands.append(self._demand)
         weight = min(1, seconds / DEMAND_SECONDS)
         self._demand += weight * (self._asked / seconds - self._demand)
         self._asked = 0
@@ -146,12 +181,14 @@
 class Rates:
     """The accounts of all customers that called here or at a peer."""
 
-    __slots__ = ('_accounts', '_collected')
+    __slots__ = ('_accounts', '_collected', '_reported', '_silent_by_zone')
 
     def __init__(self) -> None:
         """Starts without accounts."""
         self._accounts: dict[str, Account] = {}
         self._collected: dict[str, int] = {}
+        self._reported: frozenset[str] = frozenset()
+        self._silent_by_zone: dict[str, int] = {}
 
     def __iter__(self) -> Iterator[tuple[str, Account]]:
         """Walks over the accounts by customer."""
@@ -173,9 +210,24 @@
             known = self._collected.get(customer, 0)
             self._collected[customer] = known + tokens
 
-    def clear_collected(self) -> None:
-        """Notes that the other zones were told."""
+    @property
+    def reported(self) -> frozenset[str]:
+        """The customers of whose demand the other zones were told last."""
+        return self._reported
+
+    @property
+    def silent_by_zone(self) -> Mapping[str, int]:
+        """How many instances of other zones are not heard of there."""
+        return self._silent_by_zone
+
+    def note_silent(self, zone: str, instances: int) -> None:
+        """Notes how many instances of another zone are not heard of."""
+        self._silent_by_zone[zone] = instances
+
+    def clear_collected(self, reported: frozenset[str]) -> None:
+        """Notes that the other zones were told of these customers."""
         self._collected = {}
+        self._reported = reported
 
     def open(self, customer: str, level: float, now: Instant) -> None:
         """Creates an account, unless there is one."""
