--- a/chervilstep/commands/vitals.py
+++ b/chervilstep/commands/vitals.py
@@ -36,8 +36,7 @@
 #: An older report says nothing any more.
 MAX_AGE_SECONDS: Final = 2.0
 
-#: The running and the waiting requests, and the slots.
-_COUNTS: Final = 3
+_ENTRY_FIELDS: Final = 5
 #: Running and waiting requests, slots, slowdown, and the age in ms.
 Entry: TypeAlias = tuple[int, int, int, float, int]
 
@@ -208,12 +207,12 @@
 
 
 def _report_of(entry: Entry, now: Instant) -> LoadReport:
+    if len(entry) != _ENTRY_FIELDS:
+        raise PeerError('not a report of a load')
     *counts, slowdown, age_ms = entry
-    is_proper = len(counts) == _COUNTS and all(
-        isinstance(found, int) for found in (*counts, age_ms)
-    )
+    is_proper = all(isinstance(found, int) for found in (*counts, age_ms))
     if not is_proper or not isinstance(slowdown, (int, float)):
-        raise PeerError('not a report of a load')
+        raise PeerError('a report of a load is not of numbers')
     at = now - int(age_ms) / MS_PER_SECOND
     running, waiting, slots = counts
     return LoadReport(running, waiting, slots, slowdown, at)
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,155 @@
+"""Tests of the client of the platform's store against a stand-in."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from chervilstep.exceptions import StoreError
+from chervilstep.node import new_node
+from chervilstep.platform.following import StoreSource
+from chervilstep.platform.store import new_store_client
+from tests.builders import a_settings
+from tests.platform_builders import a_configuration, a_store, an_entry
+
+PATIENCE_SECONDS = 10
+
+
+def with_client(scenario, **options):
+    async def run():
+        async with a_store(**options) as store:
+            client = new_store_client(store.address)
+            with contextlib.closing(client):
+                return await scenario(store, client)
+
+    return asyncio.run(run())
+
+
+@contextlib.asynccontextmanager
+async def a_follower(store):
+    node = new_node(a_settings(), 1)
+    source = StoreSource(node, f'store://{store.address}')
+    task = asyncio.create_task(source.run())
+    try:
+        yield node
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
+async def until(condition):
+    async with asyncio.timeout(PATIENCE_SECONDS):
+        while not condition():
+            await asyncio.sleep(0.02)
+
+
+def test_pages_are_joined():
+    async def scenario(store, client):
+        for index in range(7):
+            store.put(f'servers/i-{index}', an_entry())
+        return await client.list_all()
+
+    listing = with_client(scenario, page=3)
+    assert len(listing.items) == 7
+    assert listing.as_of == 8
+
+
+def test_watch_waits_for_a_change():
+    async def scenario(store, client):
+        watch = asyncio.create_task(client.watch(1, 5))
+        await asyncio.sleep(0.05)
+        assert not watch.done()
+        store.put('servers/i-1', an_entry())
+        return await watch
+
+    changes = with_client(scenario)
+    assert [item.key for item in changes.items] == ['servers/i-1']
+
+
+def test_watch_without_a_change_ends():
+    async def scenario(store, client):
+        return await client.watch(1, 0.05)
+
+    assert not with_client(scenario).items
+
+
+def test_deletion_has_no_content():
+    async def scenario(store, client):
+        store.put('servers/i-1', None)
+        return await client.watch(1, 1)
+
+    (item,) = with_client(scenario).items
+    assert item.content is None
+
+
+def test_discarded_history_is_told_apart():
+    async def scenario(store, client):
+        store.put('servers/i-1', an_entry())
+        store.compact()
+        with pytest.raises(StoreError) as caught:
+            await client.watch(1, 1)
+        return caught.value.is_compacted
+
+    assert with_client(scenario)
+
+
+@pytest.mark.parametrize('status', [429, 500, 503])
+def test_refusals_are_failures(status):
+    async def scenario(store, client):
+        store.refusal = status
+        with pytest.raises(StoreError) as caught:
+            await client.list_all()
+        return caught.value.is_compacted
+
+    assert not with_client(scenario)
+
+
+def test_store_that_is_not_there():
+    async def scenario():
+        client = new_store_client('127.0.0.1:1')
+        with pytest.raises(StoreError):
+            await client.list_all()
+
+    asyncio.run(scenario())
+
+
+def test_follower_keeps_up_with_the_store():
+    async def scenario():
+        async with a_store() as store, a_follower(store) as node:
+            store.put('op/config', a_configuration(version=3))
+            await until(lambda: node.snapshot.version == 3)
+            store.put('servers/i-1', an_entry())
+            await until(lambda: node.snapshot.services['huvo11a'].upstreams)
+            store.put('op/config', a_configuration(version=9))
+            await until(lambda: node.snapshot.version == 9)
+
+    asyncio.run(scenario())
+
+
+def test_follower_survives_an_outage_and_a_discarded_history():
+    async def scenario():
+        async with a_store() as store, a_follower(store) as node:
+            store.put('op/config', a_configuration(version=3))
+            await until(lambda: node.snapshot.version == 3)
+            store.refusal = 503
+            store.put('servers/i-1', an_entry())
+            await until(lambda: node.replica.lost_at is not None)
+            store.put('op/config', a_configuration(version=4))
+            store.compact()
+            store.refusal = None
+            await until(lambda: node.snapshot.version == 4)
+            await until(lambda: node.replica.lost_at is None)
+
+    asyncio.run(scenario())
+
+
+def test_calls_at_rest_are_few():
+    async def scenario():
+        async with a_store() as store, a_follower(store) as node:
+            store.put('op/config', a_configuration(version=3))
+            await until(lambda: node.snapshot.version == 3)
+            before = len(store.reads)
+            await asyncio.sleep(1.5)
+            return len(store.reads) - before
+
+    assert asyncio.run(scenario()) <= 1
--- a/tests/wire_builders.py
+++ b/tests/wire_builders.py
@@ -153,3 +153,27 @@
     return Instance(
         name, zone, f'{name}:8000', f'127.0.0.1:{peer_port}', **changes
     )
+
+
+@contextlib.asynccontextmanager
+async def a_client_of(port):
+    """A raw connection to a server on loopback."""
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    try:
+        yield reader, writer
+    finally:
+        writer.close()
+
+
+def heads_and_bodies(received):
+    """Splits answers with stated lengths."""
+    answers = []
+    while received:
+        head, _, received = received.partition(b'\r\n\r\n')
+        length = 0
+        for line in head.split(b'\r\n'):
+            if line.lower().startswith(b'content-length:'):
+                length = int(line.partition(b':')[2])
+        answers.append((head, received[:length]))
+        received = received[length:]
+    return answers
