Ask upstreams for their speed just before a call is placed

Reports were 50 to 200 ms old.

Ruled out: crowding (busiest to mean 1.2 to 1.6) and single bad upstreams (time-outs were spread evenly over all of them).

Before a call without a fresh report three stale upstreams are asked, and three more when those are slow; regular checks come twice a second only. Also: own parts of a rate are minted a little faster while tokens are left, since a lowered customer was refused with tokens unspent.

--- a/chervilstep/adapters/dispatcher.py
+++ b/chervilstep/adapters/dispatcher.py
@@ -1,7 +1,7 @@
 """Takes calls through the queue and their attempts; decides nothing."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from functools import partial
 from typing import Protocol, TypeAlias, final
 
@@ -17,6 +17,7 @@
     hedging,
     queueing,
     retrying,
+    scouting,
 )
 from chervilstep.queries.attempting import new_attempt
 from chervilstep.refusals import QUEUE_FULL, Refusal
@@ -37,6 +38,13 @@
         """Sends one attempt; cancelling the task cancels the attempt."""
 
 
+class Scout(Protocol):
+    """Asks upstreams for their load before a call is placed."""
+
+    async def scout(self, service: str, upstreams: Iterable[Upstream]) -> None:
+        """Asks upstreams of a service, and waits a moment for answers."""
+
+
 @final
 class Dispatcher:
     """Runs admitted calls: waits for upstreams, sends, and retries.
@@ -45,11 +53,22 @@
     and the command that follows from it nothing is awaited.
     """
 
-    __slots__ = ('_clock', '_grants', '_node', '_pool', '_timer', '_wakes_at')
+    __slots__ = (
+        '_clock',
+        '_grants',
+        '_node',
+        '_pool',
+        '_scout',
+        '_timer',
+        '_wakes_at',
+    )
 
-    def __init__(self, node: Node, pool: Pool, clock: Clock) -> None:
+    def __init__(
+        self, node: Node, pool: Pool, clock: Clock, scout: Scout | None
+    ) -> None:
         """Creates a dispatcher without calls."""
         self._node = node
+        self._scout = scout
         self._pool = pool
         self._clock = clock
         self._grants: dict[Waiter, Grant] = {}
@@ -96,6 +115,7 @@
     async def _run(self, progress: Progress) -> Reply:
         reply: Reply | None = None
         while reply is None:
+            await self._look_around(progress)
             attempt = await self._acquire(progress)
             if isinstance(attempt, Refusal):
                 return retrying.reply_while_waiting(progress, attempt)
@@ -112,6 +132,17 @@
             )
         return reply
 
+    async def _look_around(self, progress: Progress) -> None:
+        """Asks the upstreams that the call may go to, if that tells more."""
+        if self._scout is None:
+            return
+        service = progress.ticket.route.service
+        for _ in range(scouting.ROUNDS):
+            found = scouting.scouted(self._node, progress, self._clock())
+            if not found:
+                return
+            await self._scout.scout(service, found)
+
     async def _acquire(self, progress: Progress) -> Attempt | Refusal:
         now = self._clock()
         upstream = queueing.immediate_upstream(self._node, progress, now)
@@ -231,6 +262,8 @@
         )
 
 
-def new_dispatcher(node: Node, pool: Pool, clock: Clock) -> Dispatcher:
+def new_dispatcher(
+    node: Node, pool: Pool, clock: Clock, scout: Scout | None = None
+) -> Dispatcher:
     """Creates the dispatcher of an instance."""
-    return Dispatcher(node, pool, clock)
+    return Dispatcher(node, pool, clock, scout)
--- a/chervilstep/adapters/health.py
+++ b/chervilstep/adapters/health.py
@@ -1,8 +1,8 @@
-"""Checks upstreams whose answers tell their load and speed."""
+"""Asks upstreams for their health, load and speed."""
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from http import HTTPStatus
 from typing import Final, final
 
@@ -11,31 +11,40 @@
 from chervilstep.commands.vitals import miss_health, move_away, take_health
 from chervilstep.exceptions import FetchError
 from chervilstep.node import Node
-from chervilstep.queries.health import check_period, checked_upstreams
+from chervilstep.queries.health import (
+    CHECK_PERIOD_SECONDS,
+    checked_upstreams,
+    known_upstreams,
+)
 from chervilstep.services import Service, Upstream
-from chervilstep.types import Instant
+from chervilstep.types import Deadline, Instant, new_deadline
 
-#: How often the upstreams to check are looked up.
+#: How often it is looked up which checks are due.
 REVIEW_SECONDS: Final = 0.25
 #: How long an upstream may take to answer a check.
 CHECK_SECONDS: Final = 0.5
-#: The pause after a check without an answer.
-RETRY_SECONDS: Final = 0.25
+#: How long a call waits for the answers of those asked on its behalf.
+SCOUT_SECONDS: Final = 0.03
 MAX_ANSWER_BYTES: Final = 4096
 
 
 @final
 class HealthChecker:
-    """Runs one task for each upstream that this instance checks."""
+    """Checks upstreams regularly, and others when a call is placed.
 
-    __slots__ = ('_clock', '_dialect', '_node', '_tasks')
+    There is at most one check of an upstream at a time, on one connection.
+    """
+
+    __slots__ = ('_clients', '_clock', '_dialect', '_due', '_node', '_pending')
 
     def __init__(self, node: Node, clock: Callable[[], Instant]) -> None:
         """Creates a checker that has sent nothing."""
         self._node = node
         self._clock = clock
         self._dialect = new_dialect(node.settings.dialect)
-        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._clients: dict[str, KeptClient] = {}
+        self._pending: dict[str, asyncio.Task[None]] = {}
+        self._due: dict[str, Deadline] = {}
 
     async def run(self) -> None:
         """Checks until cancelled."""
@@ -44,44 +53,56 @@
                 self._review()
                 await asyncio.sleep(REVIEW_SECONDS)
 
+    async def scout(self, service: str, upstreams: Iterable[Upstream]) -> None:
+        """Asks upstreams of a service, and waits a moment for the answers."""
+        found = self._node.snapshot.services.get(service)
+        if found is not None:
+            tasks = [self._start(found, each) for each in upstreams]
+            await asyncio.wait(tasks, timeout=SCOUT_SECONDS)
+
     def close(self) -> None:
         """Ends every check."""
-        for task in self._tasks.values():
+        for task in self._pending.values():
             task.cancel()
+        for client in self._clients.values():
+            client.close()
 
     def _review(self) -> None:
-        wanted = checked_upstreams(self._node)
-        for name, task in tuple(self._tasks.items()):
-            if name not in wanted or task.done():
-                task.cancel()
-                self._tasks.pop(name)
-        loop = asyncio.get_running_loop()
-        for name, (service, upstream) in wanted.items():
-            if name not in self._tasks:
-                self._tasks[name] = loop.create_task(
-                    self._follow(service, upstream)
-                )
-
-    async def _follow(self, service: Service, upstream: Upstream) -> None:
-        client = KeptClient(upstream.address, MAX_ANSWER_BYTES)
-        with contextlib.closing(client):
-            while True:
-                pause = await self._check(client, service, upstream)
-                await asyncio.sleep(pause)
+        now = self._clock()
+        known = known_upstreams(self._node)
+        for name in set(self._clients) - known:
+            self._clients.pop(name).close()
+            self._due.pop(name, None)
+        for name, (service, upstream) in checked_upstreams(self._node).items():
+            due = self._due.get(name)
+            if due is None or due.has_passed(now):
+                self._start(service, upstream)
+
+    def _start(
+        self, service: Service, upstream: Upstream
+    ) -> 'asyncio.Task[None]':
+        name = upstream.name
+        pending = self._pending.get(name)
+        if pending is None or pending.done():
+            now = self._clock()
+            self._due[name] = new_deadline(now, CHECK_PERIOD_SECONDS)
+            pending = asyncio.create_task(self._check(service, upstream))
+            self._pending[name] = pending
+        return pending
 
-    async def _check(
-        self, client: KeptClient, service: Service, upstream: Upstream
-    ) -> float:
-        """Checks once; returns the seconds until the next check."""
+    async def _check(self, service: Service, upstream: Upstream) -> None:
+        client = self._clients.get(upstream.name)
+        if client is None:
+            client = KeptClient(upstream.address, MAX_ANSWER_BYTES)
+            self._clients[upstream.name] = client
         self._node.counters.add('health_checks', service=service.name)
         try:
             fetched = await client.get(service.health_path, CHECK_SECONDS)
         except FetchError:
             self._node.counters.add('health_failures', service=service.name)
             miss_health(self._node, service, upstream.name, self._clock())
-            return RETRY_SECONDS
-        self._take(service, upstream, fetched)
-        return check_period(self._node, service.name)
+        else:
+            self._take(service, upstream, fetched)
 
     def _take(
         self, service: Service, upstream: Upstream, fetched: Fetched
@@ -91,7 +112,6 @@
         if found is not None and found != upstream.identity:
             move_away(self._node, upstream.name, now)
             return
-        cold_seconds = self._dialect.cold_seconds(fetched.headers)
         report = self._dialect.report(fetched.headers, now)
         is_well = fetched.status == HTTPStatus.OK
         take_health(
@@ -99,7 +119,7 @@
             service,
             upstream.name,
             report if is_well else None,
-            cold_seconds,
+            self._dialect.cold_seconds(fetched.headers),
             now,
         )
 
--- a/chervilstep/adapters/instance.py
+++ b/chervilstep/adapters/instance.py
@@ -13,6 +13,7 @@
 from chervilstep.adapters.dispatcher import new_dispatcher
 from chervilstep.adapters.edge import EDGES, Edge
 from chervilstep.adapters.eventlog import new_event_log
+from chervilstep.adapters.health import new_health_checker
 from chervilstep.adapters.peers import PeerStreams, new_peer_streams
 from chervilstep.adapters.pool import HttpPool, new_pool
 from chervilstep.adapters.runners import new_runners
@@ -35,6 +36,7 @@
     """One entry instance with everything that it runs on the loop."""
 
     __slots__ = (
+        '_checker',
         '_clock',
         '_edge',
         '_events',
@@ -53,7 +55,8 @@
         self._pool = new_pool(
             node.settings, clock, functools.partial(is_trusted, node)
         )
-        dispatcher = new_dispatcher(node, self._pool, clock)
+        self._checker = new_health_checker(node, clock)
+        dispatcher = new_dispatcher(node, self._pool, clock, self._checker)
         new_edge = EDGES.find(node.settings.edge)
         self._edge = new_edge(node, dispatcher.handle, clock)
         self._events = new_event_log(node)
@@ -116,7 +119,8 @@
         self._events.start()
         runners = new_runners(self._node, self._clock)
         self._tasks.extend(
-            loop.create_task(runner.run()) for runner in (*runners, self._peers)
+            loop.create_task(runner.run())
+            for runner in (*runners, self._checker, self._peers)
         )
 
     async def _stop_tasks(self) -> None:
--- a/chervilstep/adapters/kept.py
+++ b/chervilstep/adapters/kept.py
@@ -62,7 +62,7 @@
         """
         try:
             async with asyncio.timeout(seconds):
-                fetched = await self._exchange(target)
+                fetched = await self._exchange_again(target)
         except (OSError, iostream.StreamClosedError) as fault:
             self.close()
             raise FetchError(type(fault).__name__) from fault
@@ -80,6 +80,19 @@
             self._stream.close()
             self._stream = None
 
+    async def _exchange_again(self, target: str) -> Fetched | None:
+        """Tries a second time when the kept connection had been closed."""
+        if self._stream is None or self._stream.closed():
+            return await self._exchange(target)
+        try:
+            fetched = await self._exchange(target)
+        except iostream.StreamClosedError:
+            fetched = None
+        if fetched is not None:
+            return fetched
+        self.close()
+        return await self._exchange(target)
+
     async def _exchange(self, target: str) -> Fetched | None:
         stream = await self._open()
         http = http1connection.HTTP1Connection(stream, True, self._params)
--- a/chervilstep/adapters/pool.py
+++ b/chervilstep/adapters/pool.py
@@ -26,7 +26,7 @@
 MAX_IDLE_CONNECTIONS: Final = 6
 #: A connection is not used in the last part of the time that the upstream
 #: keeps it, which is when the upstream may be closing it.
-IDLE_MARGIN: Final = 0.6
+IDLE_MARGIN: Final = 0.8
 #: Answers to other requests that are skipped before the own one.
 MAX_STRAY_ANSWERS: Final = 2
 #: The longest time for opening a connection.
--- a/chervilstep/adapters/runners.py
+++ b/chervilstep/adapters/runners.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 
 from chervilstep.adapters.dialect import NATIVE
-from chervilstep.adapters.health import new_health_checker
 from chervilstep.adapters.prober import new_prober
 from chervilstep.adapters.source import Source
 from chervilstep.adapters.sources import new_source
@@ -13,10 +12,7 @@
 
 def new_runners(node: Node, clock: Callable[[], Instant]) -> list[Source]:
     """Creates what runs until the instance stops."""
-    runners: list[Source] = [
-        new_source(node),
-        new_health_checker(node, clock),
-    ]
+    runners: list[Source] = [new_source(node)]
     if node.settings.dialect == NATIVE:
         runners.append(new_prober(node, clock))
     return runners
--- a/chervilstep/commands/vitals.py
+++ b/chervilstep/commands/vitals.py
@@ -15,7 +15,8 @@
 from chervilstep.node import Node
 from chervilstep.queries.coldness import cold_rate
 from chervilstep.queries.fleet import zone_peers
-from chervilstep.queries.outcomes import is_failure
+from chervilstep.queries.hedging import patience as late_after
+from chervilstep.queries.outcomes import is_failure, is_good_answer
 from chervilstep.queries.soonest import SOONEST
 from chervilstep.reports import LoadReport
 from chervilstep.services import Service
@@ -23,6 +24,8 @@
 from chervilstep.vitals import Vitals
 
 VITALS_RANK: Final = 20
+#: Before the others, which change what decided the attempt.
+EVENT_RANK: Final = 5
 #: How often peers hear the newest reports.
 NEWS_SECONDS: Final = 0.05
 #: How long an upstream is left alone after its first failure in a row.
@@ -77,6 +80,33 @@
     vitals.count_cold(tokens - 1, now)
 
 
+@ATTEMPT_ENDS.register(EVENT_RANK)
+def note_attempt(node: Node, attempt: Attempt, outcome: Outcome) -> None:
+    """Notes attempts that failed, came late or were not the first ones."""
+    seconds = outcome.ended_at - attempt.started_at
+    patience = late_after(node, attempt.ticket)
+    is_late = patience is not None and seconds > patience
+    is_plain = is_good_answer(outcome) and attempt.number == 1
+    if is_plain and not is_late:
+        return
+    vitals = node.vitals.by_upstream.get(attempt.upstream.name)
+    report = vitals.report if vitals else None
+    node.events.add(
+        'attempt_ended',
+        request=attempt.ticket.call.request_id,
+        number=attempt.number,
+        upstream=attempt.upstream.name,
+        zone=attempt.upstream.zone,
+        ending=outcome.ending.value,
+        verdict=outcome.verdict.value,
+        seconds=round(seconds, 4),
+        in_flight=node.board.in_flight(attempt.upstream.name),
+        report_age=round(outcome.ended_at - report.at, 3) if report else None,
+        slowdown=report.slowdown if report else None,
+        cold=bool(vitals and vitals.is_cold(attempt.started_at)),
+    )
+
+
 @ATTEMPT_ENDS.register(VITALS_RANK)
 def judge_vitals(node: Node, attempt: Attempt, outcome: Outcome) -> None:
     """Takes in what an attempt says of the health of its upstream."""
--- a/chervilstep/queries/health.py
+++ b/chervilstep/queries/health.py
@@ -1,4 +1,4 @@
-"""Which upstreams this instance checks, and how often."""
+"""Which upstreams this instance checks regularly."""
 
 from collections.abc import Mapping
 from typing import Final
@@ -9,14 +9,8 @@
 from chervilstep.queries.soonest import SOONEST
 from chervilstep.services import Service, Upstream
 
-#: Checks in the time that a usual call of the service takes: the speed of an
-#: upstream matters as long as a call runs.
-CHECKS_A_CALL: Final = 1.5
-#: The shortest and the longest time between two checks of an upstream.
-MIN_PERIOD_SECONDS: Final = 0.04
-MAX_PERIOD_SECONDS: Final = 0.5
-#: The latency of a service that has not answered yet.
-FIRST_LATENCY_SECONDS: Final = 0.1
+#: The time between two checks of an upstream that no call asks about.
+CHECK_PERIOD_SECONDS: Final = 0.5
 
 
 def checked_upstreams(node: Node) -> Mapping[str, tuple[Service, Upstream]]:
@@ -39,9 +33,10 @@
     }
 
 
-def check_period(node: Node, service: str) -> float:
-    """The seconds between two checks of an upstream of ``service``."""
-    load = node.board.services.get(service)
-    latency = load.typical_latency if load else None
-    period = (latency or FIRST_LATENCY_SECONDS) / CHECKS_A_CALL
-    return min(MAX_PERIOD_SECONDS, max(MIN_PERIOD_SECONDS, period))
+def known_upstreams(node: Node) -> frozenset[str]:
+    """The names of all upstreams that may be checked."""
+    return frozenset(
+        upstream.name
+        for service in node.snapshot.services.values()
+        for upstream in service.upstreams
+    )
--- a/chervilstep/queries/rates.py
+++ b/chervilstep/queries/rates.py
@@ -34,13 +34,17 @@
 #: A demand that everyone is taken to have, in calls a second, so that a new
 #: instance has a part before its first report.
 BASE_DEMAND: Final = 0.2
-#: Calls of one instance that may come together by chance.
+#: Calls that may come together at one instance by chance, and the part of a
+#: burst that may so be spent at all instances before their reports.
 CHANCE_CALLS: Final = 2
+CHANCE_BURST: Final = 0.8
 #: The others may take over so many times their part from those that have
 #: fallen silent, which the agreed excess covers.
 TAKEN_OVER: Final = 1.1
 #: Stands before the names of zones among the sources of demand.
 _ZONE_MARK: Final = 'zone/'
+#: By how much the own parts mint more while half of a burst is left.
+HASTE: Final = 0.3
 #: By how much the own parts mint less when the whole excess is used up.
 REPAYMENT: Final = 0.5
 
@@ -73,7 +77,7 @@
     same is taken to be so at the peers.
     """
     own = own_share(node, account, now)
-    unheard = surprise(account) * (1 / own - 1)
+    unheard = surprise(node, customer, account) * (1 / own - 1)
     unheard += sum(
         demand.calls_a_second * demand.overdue(now)
         for demand in account.peers.values()
@@ -84,10 +88,12 @@
     return tokens >= max(1, reserve)
 
 
-def surprise(account: Account) -> float:
-    """Calls admitted here of late beyond what the demand explains."""
+def surprise(node: Node, customer: Customer, account: Account) -> float:
+    """Calls admitted here of late beyond what demand and chance explain."""
     expected = account.demand * REPORT_SECONDS * 2
-    return max(0, account.recent - expected - CHANCE_CALLS)
+    by_burst = CHANCE_BURST * customer.burst / known_size(node)
+    chance = max(CHANCE_CALLS, by_burst)
+    return max(0, account.recent - expected - chance)
 
 
 def heard_fraction(node: Node, account: Account, now: Instant) -> float:
@@ -152,11 +158,27 @@
     node: Node, customer: Customer, account: Account, now: Instant
 ) -> float:
     """The tokens a second that this instance mints for itself."""
-    debt = min(1, max(0, -account.level) / excess(node, customer))
-    repaying = 1 - debt * REPAYMENT
     fraction = heard_fraction(node, account, now)
     share = own_share(node, account, now)
-    return customer.rate * repaying * fraction * share
+    pace = _pace(node, customer, account, is_whole=fraction >= 1)
+    return customer.rate * pace * fraction * share
+
+
+def _pace(
+    node: Node, customer: Customer, account: Account, *, is_whole: bool
+) -> float:
+    """How much faster or slower than the rate the own parts are minted.
+
+    Tokens that nobody's part covers are spent faster, as long as everyone is
+    heard; an excess is paid back.
+    """
+    if account.level < 0:
+        debt = min(1, -account.level / excess(node, customer))
+        return 1 - debt * REPAYMENT
+    if not is_whole or not customer.burst:
+        return 1
+    spare = min(1, account.level / (SHARED_BURST * customer.burst))
+    return 1 + spare * HASTE
 
 
 def own_share(node: Node, account: Account, now: Instant) -> float:
--- a/chervilstep/queries/soonest.py
+++ b/chervilstep/queries/soonest.py
@@ -37,7 +37,7 @@
 NEAR_BEST: Final = 1.15
 #: What an upstream of another zone costs more: traffic between zones is
 #: billed, and a report from there is older.
-OTHER_ZONE_COST: Final = 1.4
+OTHER_ZONE_COST: Final = 1.8
 #: What a shed request says of an upstream for a moment.
 SHED_COST: Final = 3.0
 #: Answers this many times slower than the service's count as slow.
