Close only idle connections at a planned stop

Ruled out: the time after SIGTERM itself (3.3 s of 6 s were used).

Idle connections are closed first, and the process ends when none is left or the time is up. A request that crosses the close was not read.

--- a/chervilstep/adapters/edge.py
+++ b/chervilstep/adapters/edge.py
@@ -25,6 +25,9 @@
     def stop(self) -> None:
         """Takes no new connections."""
 
+    def retire(self) -> None:
+        """Closes the connections that are idle."""
+
     async def close(self) -> None:
         """Closes every connection."""
 
--- a/chervilstep/adapters/http1.py
+++ b/chervilstep/adapters/http1.py
@@ -83,6 +83,7 @@
         '_has_ended',
         '_exchanges',
         '_idle_timer',
+        '_is_receiving',
         '_room',
         '_server',
         '_stream',
@@ -99,12 +100,13 @@
         self._room.set()
         self._closes = False
         self._has_ended = False
+        self._is_receiving = False
         self._idle_timer: asyncio.TimerHandle | None = None
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is being answered."""
-        return not self._exchanges
+        """Whether no request is being read or answered."""
+        return not self._exchanges and not self._is_receiving
 
     async def run(self) -> None:
         """Reads requests until the connection ends."""
@@ -129,6 +131,7 @@
             await self._room.wait()
             self._arm()
             request = await self._read()
+            self._is_receiving = False
             if self._has_ended:
                 # What follows the last answer counts as not read.
                 break
@@ -147,6 +150,7 @@
         if len(head) > limits.head_bytes:
             raise RequestError(431, 'The head is too large.')
         self._disarm()
+        self._is_receiving = True
         start, headers = parse_head(head)
         framing = framing_of(headers, limits.body_bytes)
         await self._welcome(headers, framing)
@@ -290,9 +294,9 @@
         return self._is_leaving
 
     @property
-    def in_flight(self) -> int:
-        """How many connections have requests that are being answered."""
-        return sum(not each.is_idle for each in self._connections)
+    def open_connections(self) -> int:
+        """How many connections are open."""
+        return len(self._connections)
 
     def handle(self, request: Request) -> Awaitable[Response]:
         """Starts to answer a request."""
@@ -306,6 +310,15 @@
         """Has every further answer end its connection."""
         self._is_leaving = True
 
+    def close_idle(self) -> None:
+        """Closes the connections on which no request is in progress.
+
+        A request that crosses this was not read, so nothing of it has run.
+        """
+        for connection in tuple(self._connections):
+            if connection.is_idle:
+                connection.close()
+
     def close_all(self) -> None:
         """Closes every connection."""
         for connection in tuple(self._connections):
--- a/chervilstep/adapters/instance.py
+++ b/chervilstep/adapters/instance.py
@@ -140,9 +140,11 @@
             await asyncio.sleep(STOP_POLL_SECONDS)
 
     async def _drain(self, deadline: Deadline) -> None:
+        self._edge.retire()
         while self._edge.in_flight:
             if deadline.has_passed(self._clock()):
                 return
+            self._edge.retire()
             await asyncio.sleep(STOP_POLL_SECONDS)
 
     async def _close(self) -> None:
--- a/chervilstep/adapters/native.py
+++ b/chervilstep/adapters/native.py
@@ -63,6 +63,9 @@
         """Takes no new connections."""
         self._server.stop()
 
+    def retire(self) -> None:
+        """Leaves idle connections to the end: they cost nothing here."""
+
     async def close(self) -> None:
         """Closes every connection."""
         self._admin.stop()
--- a/chervilstep/platform/front.py
+++ b/chervilstep/platform/front.py
@@ -65,8 +65,8 @@
 
     @property
     def in_flight(self) -> int:
-        """How many connections of clients have requests in progress."""
-        return self._servers[0].in_flight
+        """How many connections of clients are open."""
+        return self._servers[0].open_connections
 
     def listen(self) -> None:
         """Takes connections at every address."""
@@ -87,6 +87,10 @@
         """Takes no new connections of clients."""
         self._servers[0].stop()
 
+    def retire(self) -> None:
+        """Closes the connections of clients that are idle."""
+        self._servers[0].close_idle()
+
     async def close(self) -> None:
         """Closes every connection."""
         for server in self._servers:
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -148,6 +148,39 @@
     assert [request.target for request in desk.seen] == ['/0']
 
 
+def test_only_idle_connections_are_closed_at_a_stop():
+    """A request that arrives as the last ones end must not be cut."""
+    desk = Desk()
+
+    async def run():
+        desk.gates = {'/0': asyncio.Event()}
+        async with a_server(desk) as (server, port):
+            async with (
+                a_client_of(port) as (reader, busy),
+                a_client_of(port) as (_, slow),
+                a_client_of(port) as (idle_reader, _),
+            ):
+                busy.write(GET % 0)
+                slow.write(
+                    b'POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\n'
+                )
+                await asyncio.sleep(0.05)
+                assert server.open_connections == 3
+                server.close_idle()
+                assert await idle_reader.read() == b''
+                assert server.open_connections == 2
+                desk.gates['/0'].set()
+                slow.write(b'x')
+                await reader.readuntil(b'/0')
+                await asyncio.sleep(0.05)
+                server.close_idle()
+                await asyncio.sleep(0.05)
+                return server.open_connections
+
+    assert asyncio.run(run()) == 0
+    assert {request.target for request in desk.seen} == {'/0', '/1'}
+
+
 def test_expected_continue_is_sent():
     desk = Desk()
 
