--- /dev/null
+++ b/chervilstep/adapters/metricspage.py
@@ -0,0 +1,39 @@
+"""The page of metrics, whose libraries are loaded when it is first asked for.
+
+An instance that nobody asks does without their memory.
+"""
+
+import importlib
+from collections.abc import Callable
+from typing import final
+
+from chervilstep.node import Node
+from chervilstep.types import Instant
+
+
+@final
+class MetricsPage:
+    """The metrics of a node as text."""
+
+    __slots__ = ('_content_type', '_read')
+
+    def __init__(self, content_type: str, read: Callable[[], bytes]) -> None:
+        """Creates a page whose text ``read`` returns."""
+        self._content_type = content_type
+        self._read = read
+
+    @property
+    def content_type(self) -> str:
+        """The media type of the text."""
+        return self._content_type
+
+    def exposition(self) -> bytes:
+        """Every metric as it is now."""
+        return self._read()
+
+
+def new_metrics_page(node: Node, clock: Callable[[], Instant]) -> MetricsPage:
+    """Loads the libraries and creates the page of a node."""
+    module = importlib.import_module('chervilstep.adapters.metrics')
+    metrics = module.new_metrics(node, clock)
+    return MetricsPage(module.CONTENT_TYPE, metrics.exposition)
--- a/chervilstep/platform/boot.py
+++ b/chervilstep/platform/boot.py
@@ -21,6 +21,8 @@
 
 #: Names the file.
 VARIABLE: Final = 'CHERVILSTEP_BOOT'
+#: As ``deploy/system.toml`` names it; the usual one of such exporters.
+METRICS_PORT: Final = 9464
 #: The largest answer of a server that is read.
 ANSWER_LIMIT_BYTES: Final = 64 * 1024 * 1024
 HEAD_LIMIT_BYTES: Final = 64 * 1024
@@ -65,7 +67,13 @@
     # Instances are known by where their peers find them, since the seeds
     # are addresses and nothing else names an instance.
     name = addresses['control']
-    PLACES.put(name, Places(addresses['directory'], addresses['readyAddr']))
+    host = addresses['front'].rpartition(':')[0]
+    places = Places(
+        addresses['directory'],
+        addresses['readyAddr'],
+        f'{host}:{METRICS_PORT}',
+    )
+    PLACES.put(name, places)
     return Settings(
         name=name,
         zone=table['zone'],
--- a/chervilstep/platform/front.py
+++ b/chervilstep/platform/front.py
@@ -8,6 +8,7 @@
 
 from chervilstep.adapters.edge import EDGES, Handle
 from chervilstep.adapters.http1 import PipelineServer
+from chervilstep.adapters.metricspage import MetricsPage, new_metrics_page
 from chervilstep.adapters.requests import Request, Response
 from chervilstep.adapters.streams import split_address
 from chervilstep.calls import Answer, Call, Reply
@@ -28,6 +29,8 @@
 PLATFORM_EDGE: Final = 'platform'
 RESOLVE_PATH: Final = '/api/resolve'
 READY_PATH: Final = '/api/readiness'
+#: As ``deploy/system.toml`` names it.
+METRICS_PATH: Final = '/metrics'
 #: Limits before the first configuration, which states its own.
 FIRST_LIMITS: Final = ClientLimits(16 * 1024, 1024 * 1024, 3, 15)
 #: The share of plain successes of which a line is written.
@@ -48,7 +51,14 @@
 class PlatformEdge:
     """Serves the platform's clients, and answers the platform itself."""
 
-    __slots__ = ('_clock', '_handle', '_node', '_places', '_servers')
+    __slots__ = (
+        '_clock',
+        '_handle',
+        '_metrics',
+        '_node',
+        '_places',
+        '_servers',
+    )
 
     def __init__(
         self, node: Node, handle: Handle, clock: Callable[[], Instant]
@@ -60,8 +70,14 @@
         self._places: Places = PLACES.of(node.settings.name)
         self._servers = [
             PipelineServer(handler, self._limits, self._note_refusal)
-            for handler in (self.serve, self.resolve, self.tell_readiness)
+            for handler in (
+                self.serve,
+                self.resolve,
+                self.tell_readiness,
+                self.tell_metrics,
+            )
         ]
+        self._metrics: MetricsPage | None = None
 
     @property
     def in_flight(self) -> int:
@@ -74,6 +90,7 @@
             self._node.settings.entry_address,
             self._places.directory_address,
             self._places.ready_address,
+            self._places.metrics_address,
         )
         for server, address in zip(self._servers, addresses, strict=True):
             host, port = split_address(address)
@@ -142,6 +159,17 @@
             return _empty(HTTPStatus.OK)
         return _empty(HTTPStatus.SERVICE_UNAVAILABLE)
 
+    async def tell_metrics(self, request: Request) -> Response:
+        """Answers the counters and gauges in the Prometheus text format."""
+        if request.target.partition('?')[0] != METRICS_PATH:
+            return _empty(HTTPStatus.NOT_FOUND)
+        if self._metrics is None:
+            self._metrics = new_metrics_page(self._node, self._clock)
+        content_type = ('Content-Type', self._metrics.content_type)
+        return Response(
+            HTTPStatus.OK, (content_type,), self._metrics.exposition()
+        )
+
     def _call(self, request: Request) -> Call:
         headers = request.headers
         key = header_rules.key_of(headers.get(header_rules.KEY_HEADER))
--- a/chervilstep/platform/places.py
+++ b/chervilstep/platform/places.py
@@ -7,10 +7,13 @@
 class Places:
     """The addresses that only the platform's own calls use."""
 
-    __slots__ = ('_directory_address', '_ready_address')
+    __slots__ = ('_directory_address', '_metrics_address', '_ready_address')
 
-    def __init__(self, directory_address: str, ready_address: str) -> None:
-        """Creates the places; both are ``ip:port``."""
+    def __init__(
+        self, directory_address: str, ready_address: str, metrics_address: str
+    ) -> None:
+        """Creates the places; each is ``ip:port``."""
+        self._metrics_address = metrics_address
         self._directory_address = directory_address
         self._ready_address = ready_address
 
@@ -19,6 +22,11 @@
         """Where clients ask for addresses."""
         return self._directory_address
 
+    @property
+    def metrics_address(self) -> str:
+        """Where operators read the metrics."""
+        return self._metrics_address
+
     @property
     def ready_address(self) -> str:
         """Where the platform asks whether this instance is ready."""
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -70,7 +70,7 @@
 
 def an_edge(desk, node=None):
     node = node or a_node()
-    PLACES.put(node.settings.name, Places('', ''))
+    PLACES.put(node.settings.name, Places('', '', ''))
     return PlatformEdge(node, desk.handle, lambda: 10.0)
 
 
@@ -159,6 +159,16 @@
     assert ask(edge, edge.tell_readiness, '/api/readiness')[0] == 503
 
 
+def test_metrics():
+    node = a_node()
+    node.counters.add('answers', service='strike')
+    edge = an_edge(Desk(), node)
+    status, text = ask(edge, edge.tell_metrics, '/metrics')
+    assert status == 200
+    assert b'chervilstep_answers' in text
+    assert ask(edge, edge.tell_metrics, '/else')[0] == 404
+
+
 def test_server_gets_the_terms_of_the_attempt():
     attempt = an_attempt(
         a_ticket(customer=a_customer()),
