Give up a watch of the store after two seconds

Ruled out: the relay between peers (instances that the store turned away had the change from it at 11.8 s) and the reading of the whole store (0.1 ms).

The new test fails with six seconds.

--- a/chervilstep/platform/following.py
+++ b/chervilstep/platform/following.py
@@ -16,8 +16,10 @@
 from chervilstep.node import Node
 from chervilstep.platform.store import new_store_client
 
-#: How long a watch waits; each one is a call that the platform bills.
-WATCH_SECONDS: Final = 6.0
+#: How long a watch waits. Each one is a call that the platform bills; but one
+#: that the store has forgotten hears nothing, and changes have to be in force
+#: within 3 s of the store's recovery.
+WATCH_SECONDS: Final = 2.0
 #: How long changes are left to gather before the next watch: a fraction of
 #: the time in which a change has to be in force.
 GATHER_SECONDS: Final = 0.6
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -95,6 +95,8 @@
         self.revision = 1
         self.compacted_to = 0
         self.refusal = None
+        #: Whether watches hear nothing of changes.
+        self.is_deaf = False
         self.reads = []
         self.changed = asyncio.Event()
         self.server = PipelineServer(
@@ -153,6 +155,9 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(int(query['waitMs']) / 1000):
                     await self.changed.wait()
+        if self.is_deaf:
+            await asyncio.sleep(int(query['waitMs']) / 1000)
+            return Response(200, JSON, encoded({'events': [], 'asOf': after}))
         events = [
             self._item(key)
             for key, (revision, _) in self.items.items()
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -143,6 +143,24 @@
     asyncio.run(scenario())
 
 
+def test_watch_that_hears_nothing_is_given_up_in_time():
+    """Changes are in force within 3 s, also when no watch tells of them."""
+
+    async def scenario():
+        async with a_store() as store, a_follower(store) as node:
+            store.put('op/config', a_configuration(version=3))
+            await until(lambda: node.snapshot.version == 3)
+            # The follower has begun its next watch.
+            await asyncio.sleep(0.8)
+            store.is_deaf = True
+            store.put('op/config', a_configuration(version=4))
+            store.compact()
+            async with asyncio.timeout(3):
+                await until(lambda: node.snapshot.version == 4)
+
+    asyncio.run(scenario())
+
+
 def test_calls_at_rest_are_few():
     async def scenario():
         async with a_store() as store, a_follower(store) as node:
