Count cold tokens and heard peers in one place each

Found in a last read: the bucket of a cold upstream was worked out in the query and again in the command, three modules listed the peers with a stream, and a property of accounts was read by nobody.

--- a/chervilstep/commands/vitals.py
+++ b/chervilstep/commands/vitals.py
@@ -13,7 +13,7 @@
 )
 from chervilstep.messages import Message
 from chervilstep.node import Node
-from chervilstep.queries.coldness import cold_rate
+from chervilstep.queries.coldness import cold_rate, cold_tokens
 from chervilstep.queries.fleet import zone_peers
 from chervilstep.queries.hedging import patience as late_after
 from chervilstep.queries.outcomes import is_failure, is_good_answer
@@ -75,9 +75,7 @@
     if not vitals.is_cold(now):
         return
     rate = cold_rate(node, service.cold_start, attempt.upstream)
-    elapsed = max(0, now - vitals.cold_at)
-    tokens = min(1, vitals.cold_tokens + elapsed * rate)
-    vitals.count_cold(tokens - 1, now)
+    vitals.count_cold(cold_tokens(vitals, rate, now) - 1, now)
 
 
 @ATTEMPT_ENDS.register(EVENT_RANK)
--- a/chervilstep/queries/coldness.py
+++ b/chervilstep/queries/coldness.py
@@ -11,6 +11,7 @@
 from chervilstep.queries.homes import score
 from chervilstep.services import ColdStart, Service, Upstream
 from chervilstep.types import Instant
+from chervilstep.vitals import Vitals
 
 #: The part of the bound that is used; views of the fleet differ for a while.
 USED_BOUND: Final = 0.8
@@ -26,8 +27,13 @@
     if vitals is None or not vitals.is_cold(now) or service.cold_start is None:
         return True
     rate = cold_rate(node, service.cold_start, upstream)
+    return bool(rate) and cold_tokens(vitals, rate, now) >= 1
+
+
+def cold_tokens(vitals: Vitals, rate: float, now: Instant) -> float:
+    """The tokens at ``now`` of a bucket that gains ``rate`` a second."""
     elapsed = max(0, now - vitals.cold_at)
-    return bool(rate) and min(1, vitals.cold_tokens + elapsed * rate) >= 1
+    return min(1, vitals.cold_tokens + elapsed * rate)
 
 
 def cold_rate(node: Node, cold_start: ColdStart, upstream: Upstream) -> float:
--- a/chervilstep/queries/rates.py
+++ b/chervilstep/queries/rates.py
@@ -16,6 +16,7 @@
 from chervilstep.hooks import CHECKS, STATUS_PARTS
 from chervilstep.node import Node
 from chervilstep.queries.fleet import known_instances, known_size, zone_sizes
+from chervilstep.queries.gossip import heard_peers
 from chervilstep.rates import REPORT_SECONDS, Account
 from chervilstep.refusals import RATE_EXCEEDED, Refusal
 from chervilstep.snapshot import Customer
@@ -215,7 +216,7 @@
     so for a moment make the customers' tokens look fewer, never more.
     """
     members = node.members
-    heard = {name for name, view in members.views.items() if view.is_heard}
+    heard = heard_peers(node)
     speakers: dict[str, str] = {}
     for name, instance in members.listed.items():
         if name in heard or name == members.self_name:
--- a/chervilstep/queries/replica.py
+++ b/chervilstep/queries/replica.py
@@ -1,6 +1,7 @@
 """What the copy of the platform's store lacks, and whom to ask."""
 
 from chervilstep.node import Node
+from chervilstep.queries.gossip import heard_peers
 from chervilstep.replica import StoredItem
 from chervilstep.types import Instant
 
@@ -54,7 +55,7 @@
     replica = node.replica
     if not replica.is_followed or replica.lost_at is None:
         return None
-    heard = [name for name, view in node.members.views.items() if view.is_heard]
+    heard = heard_peers(node)
     return node.rng.choice(heard) if heard else None
 
 
--- a/chervilstep/rates.py
+++ b/chervilstep/rates.py
@@ -107,11 +107,6 @@
         """When the tokens were counted."""
         return self._counted_at
 
-    @property
-    def reported_at(self) -> Instant:
-        """When the peers were last told of this customer."""
-        return self._reported_at
-
     @property
     def admitted(self) -> int:
         """Calls admitted here of which the peers were not told yet."""
