Close the connections of raw stand-ins before their loop ends

RawUpstream kept its writers open on stop, and raw clients did not wait for the close.

The stand-in now closes each writer and waits for its transport; clients use the same function. The filter that turns these warnings into errors is as before.

--- a/tests/wire_builders.py
+++ b/tests/wire_builders.py
@@ -24,11 +24,19 @@
 class RawUpstream:
     """Answers each request head with fixed bytes and optionally closes."""
 
-    __slots__ = ('_answer', '_closes', '_server', 'connections', 'requests')
+    __slots__ = (
+        '_answer',
+        '_closes',
+        '_server',
+        '_writers',
+        'connections',
+        'requests',
+    )
 
     def __init__(self, answer, closes):
         self._answer = answer
         self._closes = closes
+        self._writers = []
         self.connections = 0
         self.requests = []
 
@@ -36,10 +44,17 @@
         self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
         return self._server.sockets[0].getsockname()[1]
 
-    def stop(self):
+    async def stop(self):
+        """Stops listening and closes every connection.
+
+        A writer that is still open when its loop ends raises on collection.
+        """
         self._server.close()
+        for writer in self._writers:
+            await close_writer(writer)
 
     async def _serve(self, reader, writer):
+        self._writers.append(writer)
         self.connections += 1
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             while True:
@@ -59,7 +74,14 @@
     try:
         yield server, builders.an_upstream(port=port)
     finally:
-        server.stop()
+        await server.stop()
+
+
+async def close_writer(writer):
+    """Closes a stream and waits until its transport is closed."""
+    writer.close()
+    with contextlib.suppress(ConnectionError):
+        await writer.wait_closed()
 
 
 def a_pool(is_trusted=lambda name, opened_at: True):
@@ -100,7 +122,7 @@
     reader, writer = await asyncio.open_connection('127.0.0.1', port)
     writer.write(request)
     received = await reader.read()
-    writer.close()
+    await close_writer(writer)
     return received
 
 
@@ -164,7 +186,7 @@
     try:
         yield reader, writer
     finally:
-        writer.close()
+        await close_writer(writer)
 
 
 def split_responses(received):
