Read the limits that upstreams state, and log them

Upstreams got more requests than they said they accept, and neither logs nor metrics showed that anything was said: an unknown header left no line.

The dialect of the platform now decodes the header into a statement with our names; the pool hands it on with the outcome of each attempt and health check. No decision uses a limit yet.

trace left out the events of upstreams whose name has the time of their start, which all on the platform have; the test of that failed before.

--- a/chervilstep/adapters/dialect.py
+++ b/chervilstep/adapters/dialect.py
@@ -11,7 +11,7 @@
     NOT_RUN_HEADER,
 )
 from chervilstep.registry import Registry, new_registry
-from chervilstep.reports import LoadReport
+from chervilstep.reports import LoadReport, StatedLimit
 from chervilstep.types import MS_PER_SECOND, Instant
 
 #: Header values by case-insensitive name.
@@ -43,6 +43,12 @@
     ) -> LoadReport | None:
         """Returns the load report in the headers, or None."""
 
+    def stated_limit(self, headers: HeaderMap) -> StatedLimit | None:
+        """Returns what the headers say about the request rate accepted.
+
+        Returns None if upstreams of this kind state no limits.
+        """
+
     def cold_seconds(self, headers: HeaderMap) -> float | None:
         """Returns the remaining cold time in a health answer, or None."""
 
@@ -93,6 +99,9 @@
     ) -> LoadReport | None:
         """Returns None: native upstreams report their load to probes."""
 
+    def stated_limit(self, headers: HeaderMap) -> StatedLimit | None:
+        """Returns None: native upstreams state no limits."""
+
     def cold_seconds(self, headers: HeaderMap) -> float | None:
         """Returns None: native upstreams do not report a cold time."""
 
--- a/chervilstep/adapters/health.py
+++ b/chervilstep/adapters/health.py
@@ -13,6 +13,7 @@
     record_health_check,
     record_moved_address,
 )
+from chervilstep.commands.throttling import record_checked_limit
 from chervilstep.exceptions import FetchError
 from chervilstep.node import Node
 from chervilstep.queries.health import (
@@ -108,6 +109,7 @@
             client = KeepAliveClient(upstream.address, MAX_ANSWER_BYTES)
             self._clients[upstream.name] = client
         self._node.counters.add('health_checks', service=service.name)
+        asked_at = self._clock()
         try:
             fetched = await client.get(
                 service.health_path, CHECK_TIMEOUT_SECONDS
@@ -118,10 +120,14 @@
                 self._node, service, upstream.name, self._clock()
             )
         else:
-            self._record_answer(service, upstream, fetched)
+            self._record_answer(service, upstream, fetched, asked_at)
 
     def _record_answer(
-        self, service: Service, upstream: Upstream, fetched: FetchedAnswer
+        self,
+        service: Service,
+        upstream: Upstream,
+        fetched: FetchedAnswer,
+        asked_at: Instant,
     ) -> None:
         now = self._clock()
         identity = self._dialect.identity(fetched.headers)
@@ -138,6 +144,11 @@
             self._dialect.cold_seconds(fetched.headers),
             now,
         )
+        limit = self._dialect.stated_limit(fetched.headers)
+        if limit is not None:
+            record_checked_limit(
+                self._node, upstream.name, limit, asked_at, now
+            )
 
 
 def new_health_checker(
--- a/chervilstep/adapters/pool.py
+++ b/chervilstep/adapters/pool.py
@@ -229,10 +229,11 @@
             connection.stream.close()
         now = self._clock()
         report = self._dialect.load_report(reader.headers, now)
+        limit = self._dialect.stated_limit(reader.headers)
         refusal = self._dialect.refusal_ending(answer, reader)
         if refusal is not None:
-            return Outcome(refusal, Verdict.NOT_RUN, now, report=report)
-        return Outcome(Ending.ANSWERED, Verdict.RAN, now, answer, report)
+            return Outcome(refusal, Verdict.NOT_RUN, now, None, report, limit)
+        return Outcome(Ending.ANSWERED, Verdict.RAN, now, answer, report, limit)
 
     def _is_complete(
         self, connection: Connection, reader: AnswerReader
--- a/chervilstep/calls.py
+++ b/chervilstep/calls.py
@@ -5,7 +5,7 @@
 from typing import TypeAlias, final
 
 from chervilstep.refusals import Refusal
-from chervilstep.reports import LoadReport
+from chervilstep.reports import LoadReport, StatedLimit
 from chervilstep.services import Upstream
 from chervilstep.snapshot import Customer, Priority, Route
 from chervilstep.types import Deadline, Instant, Verdict
@@ -279,7 +279,14 @@
 class Outcome:
     """The result of an attempt: its ending, verdict and answer."""
 
-    __slots__ = ('_answer', '_ended_at', '_ending', '_report', '_verdict')
+    __slots__ = (
+        '_answer',
+        '_ended_at',
+        '_ending',
+        '_report',
+        '_stated_limit',
+        '_verdict',
+    )
 
     def __init__(
         self,
@@ -288,9 +295,11 @@
         ended_at: Instant,
         answer: Answer | None = None,
         report: LoadReport | None = None,
+        stated_limit: StatedLimit | None = None,
     ) -> None:
         """Creates an outcome; ``answer`` is None without an answer."""
         self._report = report
+        self._stated_limit = stated_limit
         self._ending = ending
         self._verdict = verdict
         self._ended_at = ended_at
@@ -316,6 +325,11 @@
         """The load that the upstream reported, or None."""
         return self._report
 
+    @property
+    def stated_limit(self) -> StatedLimit | None:
+        """What the upstream said about its limit; None without an answer."""
+        return self._stated_limit
+
     @property
     def answer(self) -> Answer | None:
         """The complete answer, or None."""
--- a/chervilstep/commands/health.py
+++ b/chervilstep/commands/health.py
@@ -91,6 +91,7 @@
         return
     health = node.health.by_upstream.get(attempt.upstream.name)
     report = health.report if health else None
+    throttle = node.throttles.by_upstream.get(attempt.upstream.name)
     node.events.add(
         'attempt_ended',
         request=attempt.ticket.call.request_id,
@@ -106,6 +107,7 @@
         else None,
         slowdown=report.slowdown if report else None,
         cold=bool(health and health.is_cold(attempt.started_at)),
+        limit=throttle.calls_per_second if throttle else None,
     )
 
 
--- a/chervilstep/node.py
+++ b/chervilstep/node.py
@@ -23,6 +23,7 @@
 from chervilstep.slo import SloTable
 from chervilstep.slowstart import SlowStartTable
 from chervilstep.snapshot import Snapshot
+from chervilstep.throttles import ThrottleTable
 
 
 @final
@@ -54,6 +55,7 @@
         '_health',
         '_queues',
         '_slow_start',
+        '_throttles',
     )
 
     def __init__(self, settings: Settings, rng: random.Random) -> None:
@@ -78,6 +80,7 @@
         self._quarantine = Quarantine()
         self._connection_trust = ConnectionTrustTable()
         self._retry_budget = RetryBudget()
+        self._throttles = ThrottleTable()
 
     @property
     def settings(self) -> Settings:
@@ -183,6 +186,11 @@
         """The mean and tail latencies of services."""
         return self._latency_estimates
 
+    @property
+    def throttles(self) -> ThrottleTable:
+        """The limits that upstreams have stated."""
+        return self._throttles
+
     @property
     def queues(self) -> QueueTable:
         """The queues of calls that wait for an upstream."""
--- a/chervilstep/platform/dialect.py
+++ b/chervilstep/platform/dialect.py
@@ -7,7 +7,13 @@
 from chervilstep.adapters.dialect import DIALECTS, HeaderMap
 from chervilstep.calls import Answer, Attempt, Ending, Headers
 from chervilstep.queries.headers import parse_milliseconds
-from chervilstep.reports import LoadReport
+from chervilstep.reports import (
+    NO_LIMIT,
+    LoadReport,
+    StatedLimit,
+    new_stated_limit,
+    new_unreadable_limit,
+)
 from chervilstep.types import MS_PER_SECOND, Instant
 
 PLATFORM_DIALECT: Final = 'platform'
@@ -19,6 +25,8 @@
 CUSTOMER_HEADER: Final = 'X-Tenant-Id'
 NOT_RUN_HEADER: Final = 'X-Not-Executed'
 LOAD_HEADER: Final = 'X-Server-Load'
+#: The requests per second that the server accepts from all instances.
+LIMIT_HEADER: Final = 'Server-Limit'
 #: The identity of the server that sends a health answer.
 SERVER_IDENTITY_HEADER: Final = 'X-Instance-Id'
 #: How long the server remains cold, in health answers.
@@ -81,6 +89,15 @@
         slowdown = max(slowdown_percent / USUAL_SLOWDOWN_PERCENT, _MIN_SLOWDOWN)
         return LoadReport(running, waiting, slots, slowdown, now)
 
+    def stated_limit(self, headers: HeaderMap) -> StatedLimit:
+        """Returns the limit in ``LIMIT_HEADER``, or ``NO_LIMIT`` without it."""
+        text = headers.get(LIMIT_HEADER)
+        if text is None:
+            return NO_LIMIT
+        if _LIMIT_PATTERN.fullmatch(text) is None:
+            return new_unreadable_limit(text)
+        return new_stated_limit(float(text))
+
     def cold_seconds(self, headers: HeaderMap) -> float | None:
         """Returns the remaining cold time in a health answer, or None."""
         remaining_ms = parse_milliseconds(headers.get(COLD_MS_HEADER))
@@ -94,5 +111,6 @@
 _LOAD_PATTERN: Final = re.compile(
     r'(\d{1,6}),(\d{1,6}),(\d{1,6})(?:,(?P<speed>\d{1,6}(?:\.\d+)?))?'
 )
+_LIMIT_PATTERN: Final = re.compile(r'\d{1,9}(?:\.\d{1,9})?', re.ASCII)
 #: Lower slowdowns in reports are raised to this value.
 _MIN_SLOWDOWN: Final = 0.1
--- a/chervilstep/queries/tracing.py
+++ b/chervilstep/queries/tracing.py
@@ -34,7 +34,15 @@
 )
 #: Events that affect only the requests sent to one upstream.
 UPSTREAM_EVENTS: Final = frozenset(
-    ('upstream_closed', 'upstream_cold', 'upstream_listed', 'upstream_struck')
+    (
+        'limit_ended',
+        'limit_stated',
+        'limit_unreadable',
+        'upstream_closed',
+        'upstream_cold',
+        'upstream_listed',
+        'upstream_struck',
+    )
 )
 
 
@@ -46,7 +54,11 @@
     request_lines = [line for line in all_lines if line.is_about(request)]
     if not request_lines:
         return ()
-    upstreams = {line.fields.get('upstream') for line in request_lines} - {None}
+    upstreams = {
+        _identity(line.fields['upstream'])
+        for line in request_lines
+        if line.fields.get('upstream') is not None
+    }
     sources = {line.source for line in request_lines}
     end = max(line.timestamp for line in request_lines)
     start = min(line.timestamp for line in request_lines) - timedelta(
@@ -65,13 +77,21 @@
     return tuple(sorted(selected, key=_timestamp))
 
 
-def _affects_request(line: LogLine, upstreams: set[object]) -> bool:
+def _affects_request(line: LogLine, upstreams: set[str]) -> bool:
     if line.event in INSTANCE_EVENTS:
         return True
     if line.event not in UPSTREAM_EVENTS:
         return False
-    upstream = line.fields.get('upstream') or line.fields.get('key', '')
-    return str(upstream).rpartition('/')[2] in upstreams
+    upstream = line.fields.get('upstream')
+    if upstream is None:
+        # An item of the store has the identity at the end of its key.
+        return str(line.fields.get('key', '')).rpartition('/')[2] in upstreams
+    return _identity(upstream) in upstreams
+
+
+def _identity(upstream: object) -> str:
+    """Returns the identity in an upstream's name, which may add its start."""
+    return str(upstream).partition('/')[0]
 
 
 def _timestamp(line: LogLine) -> datetime:
--- a/chervilstep/reports.py
+++ b/chervilstep/reports.py
@@ -1,6 +1,6 @@
-"""Load reports that upstreams send with their answers."""
+"""Reports that upstreams send with their answers."""
 
-from typing import final
+from typing import Final, final
 
 from chervilstep.types import Instant
 
@@ -50,3 +50,50 @@
     def measured_at(self) -> Instant:
         """When the load was measured."""
         return self._measured_at
+
+
+@final
+class StatedLimit:
+    """What one answer says about the request rate that its upstream accepts.
+
+    The rate is the total over all instances.
+    """
+
+    __slots__ = ('_calls_per_second', '_unreadable_text')
+
+    def __init__(
+        self,
+        calls_per_second: float | None,
+        unreadable_text: str | None = None,
+    ) -> None:
+        """Creates a statement; see the factory functions of this module."""
+        self._calls_per_second = calls_per_second
+        self._unreadable_text = unreadable_text
+
+    @property
+    def calls_per_second(self) -> float | None:
+        """The accepted requests per second; None without a limit."""
+        return self._calls_per_second
+
+    @property
+    def unreadable_text(self) -> str | None:
+        """The text of a statement that is not a limit, else None.
+
+        Such a statement says neither that there is a limit nor that there is
+        none.
+        """
+        return self._unreadable_text
+
+
+#: The statement of an answer without a limit.
+NO_LIMIT: Final = StatedLimit(None)
+
+
+def new_stated_limit(calls_per_second: float) -> StatedLimit:
+    """Creates the statement of a limit in requests per second."""
+    return StatedLimit(calls_per_second)
+
+
+def new_unreadable_limit(text: str) -> StatedLimit:
+    """Creates a statement that cannot be read as a limit."""
+    return StatedLimit(None, text)
--- a/tests/test_tracing.py
+++ b/tests/test_tracing.py
@@ -68,6 +68,22 @@
     ]
 
 
+def test_events_of_an_upstream_named_with_its_start_are_included():
+    lines = parse_logs(
+        one=[
+            a_log_line('upstream_struck', 1, key='servers/i-1'),
+            a_log_line('limit_stated', 2, upstream='i-1/17'),
+            a_log_line('limit_stated', 2, upstream='i-2/17'),
+            a_log_line('attempt_ended', 3, request=ID, upstream='i-1/17'),
+        ]
+    )
+    assert traced_events(lines) == [
+        'upstream_struck',
+        'limit_stated',
+        'attempt_ended',
+    ]
+
+
 def test_format_of_a_line():
     text = a_log_line('request_refused', 3.5, request=ID, reason='queue-full')
     assert (
