Show that a fleet exceeds the limit that an upstream states

Four instances with real connections and messages call two upstreams, one of which states a limit of one request a second.

--- a/tests/test_throttling.py
+++ b/tests/test_throttling.py
@@ -1,5 +1,8 @@
 """Tests of the limits that upstreams state on the requests per second."""
 
+import asyncio
+import time
+
 import pytest
 
 from chervilstep.calls import Ending, Outcome
@@ -11,8 +14,20 @@
 from chervilstep.reports import NO_LIMIT, new_stated_limit, new_unreadable_limit
 from chervilstep.types import Verdict
 from tests.builders import a_node, an_attempt, an_upstream
+from tests.throttle_builders import (
+    StatingUpstream,
+    a_calling_fleet,
+    a_numbered_call,
+)
+from tests.virtual_builders import most_in_window
 
 UPSTREAM = an_upstream()
+#: The agreed window, and the excess over the limit within it.
+WINDOW_SECONDS = 4
+EXCESS_FACTOR = 1.5
+EXCESS_CALLS = 5
+#: All instances must keep to a limit this long after it was first stated.
+SPREAD_SECONDS = 0.5
 
 
 @pytest.mark.parametrize(
@@ -114,3 +129,33 @@
     logged = [event.fields['text'] for event in node.events.pending]
     assert logged == ['x' * 40] * 2
     assert node.counters.total_over_labels('limits_unreadable') == 3
+
+
+def allowed_in_window(limit):
+    return EXCESS_FACTOR * limit * WINDOW_SECONDS + EXCESS_CALLS
+
+
+async def send_calls(fleet, calls_per_second, seconds):
+    """Sends calls at a steady rate to one instance after another."""
+    calls = []
+    start = time.monotonic()
+    for number in range(int(calls_per_second * seconds)):
+        delay = start + number / calls_per_second - time.monotonic()
+        await asyncio.sleep(max(0, delay))
+        dispatcher = fleet.dispatchers[number % len(fleet.dispatchers)]
+        calls.append(
+            asyncio.create_task(dispatcher.handle(a_numbered_call(number)))
+        )
+    return await asyncio.gather(*calls)
+
+
+def test_upstream_gets_no_more_than_its_stated_limit():
+    async def scenario():
+        limited, other = StatingUpstream(limit=1), StatingUpstream()
+        async with a_calling_fleet(4, limited, other) as fleet:
+            await send_calls(fleet, 60, SPREAD_SECONDS + 4.5)
+        since = limited.first_stated_at + SPREAD_SECONDS
+        counted = [at for at in limited.arrived_at if at >= since]
+        assert most_in_window(counted, WINDOW_SECONDS) <= allowed_in_window(1)
+
+    asyncio.run(scenario())
