Keep the fleet within the limits that upstreams state

The class of fault: something that an upstream says about itself to one instance, and that only the whole fleet can keep.

What an instance hears goes to every peer at once, and to each newly connected peer; of overlapping answers the lower limit holds, and a limit that has ended is remembered, so that an older report does not bring it back. A limit is shared by a few instances, selected by rendezvous hashing, whose token buckets together hold one second of it: their sum needs no coordination, also in a partition. Instances without a token borrow one, so that the limit is used wherever the calls arrive. The choice of upstream and the probes before a call leave out upstreams without a token; the averages of a service are kept apart for upstreams with and without a limit. If all upstreams are limited, calls that the whole fleet cannot send in time are refused at once.

--- a/chervilstep/commands/health.py
+++ b/chervilstep/commands/health.py
@@ -21,6 +21,7 @@
 from chervilstep.queries.outcomes import is_failure, is_good_answer
 from chervilstep.queries.placement_probes import probe_tokens
 from chervilstep.queries.soonest import SOONEST
+from chervilstep.queries.throttling import active_throttle, describe_throttle
 from chervilstep.reports import LoadReport
 from chervilstep.services import Service, Upstream
 from chervilstep.types import MS_PER_SECOND, Instant, new_deadline
@@ -82,16 +83,16 @@
 
 @ATTEMPT_END_HOOKS.register(EVENT_RANK)
 def log_attempt(node: Node, attempt: Attempt, outcome: Outcome) -> None:
-    """Logs attempts that failed, were late or followed an earlier one."""
+    """Logs attempts that failed, were late, repeated or within a limit."""
     seconds = outcome.ended_at - attempt.started_at
     late_seconds = late_after(node, attempt.ticket)
     is_late = late_seconds is not None and seconds > late_seconds
     is_first_success = is_good_answer(outcome) and attempt.number == 1
-    if is_first_success and not is_late:
+    throttle = active_throttle(node, attempt.upstream.name)
+    if is_first_success and not is_late and throttle is None:
         return
     health = node.health.by_upstream.get(attempt.upstream.name)
     report = health.report if health else None
-    throttle = node.throttles.by_upstream.get(attempt.upstream.name)
     node.events.add(
         'attempt_ended',
         request=attempt.ticket.call.request_id,
@@ -107,7 +108,9 @@
         else None,
         slowdown=report.slowdown if report else None,
         cold=bool(health and health.is_cold(attempt.started_at)),
-        limit=throttle.calls_per_second if throttle else None,
+        limit=describe_throttle(throttle, outcome.ended_at)
+        if throttle
+        else None,
     )
 
 
@@ -147,9 +150,9 @@
     own = node.loads.in_flight(upstream)
     other_in_flight = max(0, report.running + report.waiting - own)
     health.record_report(report, other_in_flight)
-    node.health.service_means(service.name).record_report(
-        report.slowdown, other_in_flight
-    )
+    node.health.service_means(
+        service.name, is_limited=active_throttle(node, upstream) is not None
+    ).record_report(report.slowdown, other_in_flight)
 
 
 @every(UPDATE_PERIOD_SECONDS, 'loads')
--- a/chervilstep/commands/membership.py
+++ b/chervilstep/commands/membership.py
@@ -3,7 +3,13 @@
 from typing import Final, final
 
 from chervilstep.commands.gossip import send_initial_updates
-from chervilstep.hooks import HANDLERS, MESSAGES, SHUTDOWN_HOOKS, every
+from chervilstep.hooks import (
+    HANDLERS,
+    MESSAGES,
+    PEER_CONNECT_HOOKS,
+    SHUTDOWN_HOOKS,
+    every,
+)
 from chervilstep.messages import EVERY_PEER, Message
 from chervilstep.node import Node
 from chervilstep.queries.load import is_ready, own_load
@@ -53,9 +59,11 @@
 
 
 def handle_peer_connect(node: Node, peer: str, now: Instant) -> None:
-    """Sends a newly connected peer a heartbeat and member records."""
+    """Sends a newly connected peer what it has to know from the start."""
     node.outbox.put(peer, _new_heartbeat(node, now))
     send_initial_updates(node, peer, now)
+    for command in PEER_CONNECT_HOOKS:
+        command(node, peer, now)
 
 
 @HANDLERS.register('heartbeat')
--- a/chervilstep/commands/throttling.py
+++ b/chervilstep/commands/throttling.py
@@ -1,18 +1,39 @@
-"""Commands that record the limits that upstreams state."""
+"""Commands that record, share and spend the limits that upstreams state."""
 
 from typing import Final
 
 from chervilstep.calls import Attempt, Ending, Outcome
-from chervilstep.hooks import ATTEMPT_END_HOOKS
+from chervilstep.hooks import ATTEMPT_END_HOOKS, ATTEMPT_START_HOOKS, every
 from chervilstep.node import Node
-from chervilstep.queries.throttling import merge_evidence
+from chervilstep.queries.health import configured_upstreams
+from chervilstep.queries.throttling import (
+    active_throttle,
+    merge_evidence,
+    own_share,
+    sharing_instances,
+)
 from chervilstep.reports import NO_LIMIT, StatedLimit
-from chervilstep.throttles import LimitEvidence, Throttle
+from chervilstep.throttles import NO_SHARE, LimitEvidence, Throttle
 from chervilstep.types import Instant
 
 THROTTLE_RANK: Final = 25
 #: The part of an unreadable limit that is logged.
 MAX_LOGGED_CHARACTERS: Final = 40
+#: How often the shares are compared with the members of the fleet.
+SHARE_PERIOD_SECONDS: Final = 0.1
+EXPIRY_PERIOD_SECONDS: Final = 5.0
+#: How long the limit of an upstream that is not configured is kept. Peers may
+#: report limits before the configuration lists the upstream, and entries may
+#: lapse for a while.
+UNCONFIGURED_RETENTION_SECONDS: Final = 60.0
+
+
+@ATTEMPT_START_HOOKS.register(THROTTLE_RANK)
+def spend_limit_token(node: Node, attempt: Attempt) -> None:
+    """Spends the token of an attempt at an upstream with a limit."""
+    throttle = active_throttle(node, attempt.upstream.name)
+    if throttle is not None:
+        throttle.spend_token(attempt.started_at)
 
 
 @ATTEMPT_END_HOOKS.register(THROTTLE_RANK)
@@ -89,22 +110,58 @@
     if merged is None or merged is known:
         return
     if throttle is None:
-        node.throttles.put(upstream, Throttle(merged))
-    else:
-        throttle.replace_evidence(merged)
-    _log_change(node, upstream, known, merged, now)
+        throttle = Throttle(merged, now)
+        node.throttles.put(upstream, throttle)
+    throttle.replace_evidence(merged)
+    previous = known.calls_per_second if known else None
+    if merged.calls_per_second == previous:
+        return
+    _update_share(node, upstream, throttle, now)
+    _log_change(node, upstream, merged, previous, now)
+    if merged.source == node.settings.name:
+        node.throttles.mark_changed(upstream)
+
+
+@every(SHARE_PERIOD_SECONDS, 'limit-shares')
+def update_limit_shares(node: Node, now: Instant) -> None:
+    """Shares the limits anew when the members of the fleet have changed."""
+    instances = sharing_instances(node)
+    if instances == node.throttles.sharing_instances:
+        return
+    node.throttles.replace_sharing_instances(instances)
+    for upstream, throttle in node.throttles.by_upstream.items():
+        _update_share(node, upstream, throttle, now)
+
+
+@every(EXPIRY_PERIOD_SECONDS, 'limit-expiry')
+def remove_old_limits(node: Node, now: Instant) -> None:
+    """Removes the limits of upstreams that are gone."""
+    if not node.throttles.by_upstream:
+        return
+    configured = configured_upstreams(node)
+    for upstream, throttle in tuple(node.throttles.by_upstream.items()):
+        age = now - throttle.evidence.heard_at
+        if upstream not in configured and age > UNCONFIGURED_RETENTION_SECONDS:
+            node.throttles.remove(upstream)
+
+
+def _update_share(
+    node: Node, upstream: str, throttle: Throttle, now: Instant
+) -> None:
+    if not node.throttles.sharing_instances:
+        node.throttles.replace_sharing_instances(sharing_instances(node))
+    limit = throttle.calls_per_second
+    share = NO_SHARE if limit is None else own_share(node, upstream, limit)
+    throttle.replace_share(share, now)
 
 
 def _log_change(
     node: Node,
     upstream: str,
-    known: LimitEvidence | None,
     merged: LimitEvidence,
+    previous: float | None,
     now: Instant,
 ) -> None:
-    previous = known.calls_per_second if known else None
-    if merged.calls_per_second == previous:
-        return
     node.events.add(
         'limit_ended' if merged.calls_per_second is None else 'limit_stated',
         upstream=upstream,
--- a/chervilstep/health.py
+++ b/chervilstep/health.py
@@ -143,7 +143,7 @@
 
 @final
 class ServiceMeans:
-    """Moving averages over the load reports of one service."""
+    """Moving averages over the load reports of upstreams of one service."""
 
     __slots__ = ('_other_in_flight', '_slowdown')
 
@@ -174,12 +174,13 @@
 class HealthTable:
     """The health of all upstreams by name and the reports to send to peers."""
 
-    __slots__ = ('_by_upstream', '_unsent_reports', '_means_by_service')
+    __slots__ = ('_by_upstream', '_limited_means', '_means', '_unsent_reports')
 
     def __init__(self) -> None:
         """Creates an empty table."""
         self._by_upstream: dict[str, UpstreamHealth] = {}
-        self._means_by_service: dict[str, ServiceMeans] = {}
+        self._means: dict[str, ServiceMeans] = {}
+        self._limited_means: dict[str, ServiceMeans] = {}
         self._unsent_reports: dict[str, LoadReport] = {}
 
     @property
@@ -192,11 +193,6 @@
         """The reports not yet sent to peers, by the upstream's name."""
         return self._unsent_reports
 
-    @property
-    def means_by_service(self) -> Mapping[str, ServiceMeans]:
-        """The averages of each service with reports, by its name."""
-        return self._means_by_service
-
     def upstream_health(self, upstream: str) -> UpstreamHealth:
         """Returns the health of ``upstream``, created if missing."""
         found = self._by_upstream.get(upstream)
@@ -205,13 +201,20 @@
             self._by_upstream[upstream] = found
         return found
 
-    def service_means(self, service: str) -> ServiceMeans:
-        """Returns the averages of ``service``, created if missing."""
-        found = self._means_by_service.get(service)
-        if found is None:
-            found = ServiceMeans()
-            self._means_by_service[service] = found
-        return found
+    def means_by_service(
+        self, *, is_limited: bool
+    ) -> Mapping[str, ServiceMeans]:
+        """Returns the averages of each service over a part of its upstreams.
+
+        These are the upstreams that limit their requests, or the others: the
+        load of the one part says nothing about that of the other.
+        """
+        return self._limited_means if is_limited else self._means
+
+    def service_means(self, service: str, *, is_limited: bool) -> ServiceMeans:
+        """Returns such averages of one service, created if missing."""
+        means = self._limited_means if is_limited else self._means
+        return means.setdefault(service, ServiceMeans())
 
     def queue_report(self, upstream: str, report: LoadReport) -> None:
         """Queues a report for the next update to peers."""
--- a/chervilstep/hooks.py
+++ b/chervilstep/hooks.py
@@ -86,6 +86,9 @@
 AttemptStartHook: TypeAlias = Callable[[Node, Attempt], None]
 #: Commands that run when an attempt ends.
 AttemptEndHook: TypeAlias = Callable[[Node, Attempt, Outcome], None]
+#: Commands that run when a stream to a peer was opened; the string is the name
+#: of the peer.
+PeerConnectHook: TypeAlias = Callable[[Node, str, Instant], None]
 #: Commands that handle a message; the string is the name of the peer.
 Handler: TypeAlias = Callable[[Node, str, Message, Instant], None]
 #: Queries that choose one of the usable upstreams of a service, or None.
@@ -105,6 +108,7 @@
 REFUSAL_HOOKS: Final[HookList[RefusalHook]] = HookList()
 ATTEMPT_START_HOOKS: Final[HookList[AttemptStartHook]] = HookList()
 ATTEMPT_END_HOOKS: Final[HookList[AttemptEndHook]] = HookList()
+PEER_CONNECT_HOOKS: Final[HookList[PeerConnectHook]] = HookList()
 #: Message handlers by the kind of message.
 HANDLERS: Final[Registry[Handler]] = new_registry('message handler')
 #: Message classes by kind, for the codec.
--- a/chervilstep/queries/choice.py
+++ b/chervilstep/queries/choice.py
@@ -4,6 +4,7 @@
 from chervilstep.node import Node
 from chervilstep.queries import policies
 from chervilstep.queries.slowstart import upstreams_in_service
+from chervilstep.queries.throttling import within_limits
 from chervilstep.services import Service, Upstream
 from chervilstep.types import Instant
 
@@ -16,9 +17,9 @@
     """Returns the upstream for a request, or None if the request must wait.
 
     ``tried`` names the upstreams of earlier attempts. The policy of the
-    service selects among the usable upstreams.
+    service selects among the usable upstreams that are within their limits.
     """
-    usable = usable_upstreams(node, service, tried)
+    usable = within_limits(node, usable_upstreams(node, service, tried), now)
     if not usable:
         return None
     return POLICIES.find(service.policy)(node, service, usable, now)
--- a/chervilstep/queries/gauges.py
+++ b/chervilstep/queries/gauges.py
@@ -38,3 +38,11 @@
 def read_section_faults(node: Node, now: Instant) -> Iterable[GaugeValue]:
     """Yields the number of sections whose newest text is not in force."""
     yield GaugeValue(len(node.configuration.faults))
+
+
+@GAUGES.register('upstream_limit')
+def read_upstream_limits(node: Node, now: Instant) -> Iterable[GaugeValue]:
+    """Yields the requests per second of all instances that upstreams accept."""
+    for name, throttle in node.throttles.by_upstream.items():
+        if throttle.calls_per_second is not None:
+            yield GaugeValue(throttle.calls_per_second, upstream=name)
--- a/chervilstep/queries/placement_probes.py
+++ b/chervilstep/queries/placement_probes.py
@@ -13,6 +13,7 @@
 from chervilstep.queries.coldstart import is_within_cold_limit
 from chervilstep.queries.fleet import fleet_size
 from chervilstep.queries.soonest import SOONEST, expected_cost, is_healthy
+from chervilstep.queries.throttling import within_limits
 from chervilstep.services import Service, Upstream
 from chervilstep.types import Instant
 
@@ -82,11 +83,10 @@
 def _rank_by_cost(
     node: Node, service: Service, progress: Progress, now: Instant
 ) -> list[Upstream]:
+    usable = usable_upstreams(node, service, progress.tried_upstreams)
     costs = {
         upstream: cost
-        for upstream in usable_upstreams(
-            node, service, progress.tried_upstreams
-        )
+        for upstream in within_limits(node, usable, now)
         if is_healthy(node, upstream, now)
         and is_within_cold_limit(node, service, upstream, now)
         and (cost := expected_cost(node, service, upstream, now)) is not None
--- a/chervilstep/queries/queueing.py
+++ b/chervilstep/queries/queueing.py
@@ -1,13 +1,19 @@
 """Queries on the queues: which calls may wait, are granted or refused."""
 
+import math
 from collections import Counter
 from collections.abc import Iterator
 from typing import Final
 
 from chervilstep.node import Node
 from chervilstep.progress import Progress
-from chervilstep.queries.choice import choose_upstream, has_usable_upstream
+from chervilstep.queries.choice import (
+    choose_upstream,
+    has_usable_upstream,
+    usable_upstreams,
+)
 from chervilstep.queries.poison import is_quarantined
+from chervilstep.queries.throttling import BURST_SECONDS, accepted_rate
 from chervilstep.queues import (
     GRANT_COSTS,
     PriorityLevel,
@@ -21,6 +27,7 @@
     QUEUE_FULL,
     QUEUE_TIMEOUT,
     QUEUE_TOO_LONG,
+    UPSTREAMS_LIMITED,
     Refusal,
 )
 from chervilstep.services import Upstream
@@ -66,6 +73,9 @@
     queue = node.queues.queue(ticket.route.service)
     if is_full(node, queue, progress):
         return QUEUE_FULL
+    ahead = _waiters_ahead(queue, ticket.priority)
+    if ahead + 1 > max_calls_within_limits(node, progress, now):
+        return UPSTREAMS_LIMITED
     wait = expected_wait(queue, progress, now)
     needed = wait + tail_latency(node, ticket.route.service)
     if wait and needed > ticket.deadline.remaining(now):
@@ -73,6 +83,22 @@
     return None
 
 
+def max_calls_within_limits(
+    node: Node, progress: Progress, now: Instant
+) -> float:
+    """Returns how many calls the whole fleet can send until a call is due.
+
+    The result is infinite unless all upstreams have stated a limit.
+    """
+    name = progress.ticket.route.service
+    service = node.snapshot.services.get(name)
+    if service is None or not node.throttles.by_upstream:
+        return math.inf
+    usable = usable_upstreams(node, service, progress.tried_upstreams)
+    seconds = progress.ticket.deadline.remaining(now) - mean_latency(node, name)
+    return accepted_rate(node, usable) * (max(0, seconds) + BURST_SECONDS)
+
+
 def is_full(node: Node, queue: ServiceQueue, progress: Progress) -> bool:
     """Whether the queue has no room for the call."""
     return len(queue) >= MAX_WAITERS or not _body_fits(node, progress)
@@ -194,7 +220,9 @@
     decisions = []
     # Most waiters have tried no upstream and share one entry.
     usable: dict[frozenset[str], bool] = {}
-    for waiter in node.queues.by_service.get(service, ()):
+    waiters = sorted(node.queues.by_service.get(service, ()), key=_urgency)
+    kept = 0
+    for waiter in waiters:
         tried = waiter.progress.tried_upstreams
         if tried not in usable:
             usable[tried] = _has_usable_upstream(node, service, tried, now)
@@ -202,6 +230,10 @@
             decisions.append(QueueDecision(waiter, QUEUE_TIMEOUT))
         elif not usable[tried]:
             decisions.append(QueueDecision(waiter, NO_UPSTREAM))
+        elif kept + 1 > max_calls_within_limits(node, waiter.progress, now):
+            decisions.append(QueueDecision(waiter, UPSTREAMS_LIMITED))
+        else:
+            kept += 1
     return decisions
 
 
@@ -289,6 +321,17 @@
     return choose_upstream(node, service, progress.tried_upstreams, now)
 
 
+def _urgency(waiter: Waiter) -> tuple[Priority, Instant]:
+    return (waiter.priority, waiter.deadline.at)
+
+
+def _waiters_ahead(queue: ServiceQueue, priority: Priority) -> int:
+    """Returns the number of waiters of this or a higher priority."""
+    return sum(
+        len(level) for other, level in queue.levels.items() if other <= priority
+    )
+
+
 def _grants_in_level(level: PriorityLevel, customer: str) -> int:
     own = len(level.flows.get(customer, ()))
     others = sum(
--- a/chervilstep/queries/refusal_details.py
+++ b/chervilstep/queries/refusal_details.py
@@ -10,7 +10,10 @@
     share_rate,
     share_tokens,
 )
-from chervilstep.refusals import RATE_EXCEEDED, Refusal
+from chervilstep.queries.routing import resolve
+from chervilstep.queries.throttling import describe_limits
+from chervilstep.refusals import RATE_EXCEEDED, UPSTREAMS_LIMITED, Refusal
+from chervilstep.snapshot import Route
 from chervilstep.types import Instant
 
 
@@ -21,6 +24,12 @@
 
     The result is empty where the reason of the refusal is sufficient.
     """
+    if refusal is UPSTREAMS_LIMITED:
+        route = resolve(node.snapshot, call.method, call.path, call.host)
+        service = node.snapshot.services.get(
+            route.service if isinstance(route, Route) else ''
+        )
+        return describe_limits(node, service.upstreams if service else (), now)
     customer = node.snapshot.customer_by_digest(call.key_digest or '')
     if refusal is not RATE_EXCEEDED or customer is None:
         return {}
--- a/chervilstep/queries/retry_after.py
+++ b/chervilstep/queries/retry_after.py
@@ -6,7 +6,11 @@
 from chervilstep import refusals
 from chervilstep.calls import Call
 from chervilstep.node import Node
+from chervilstep.queries.choice import usable_upstreams
 from chervilstep.queries.rates import fleet_tokens, report_coverage
+from chervilstep.queries.routing import resolve
+from chervilstep.queries.throttling import accepted_rate
+from chervilstep.snapshot import Route
 from chervilstep.types import Instant
 
 #: Seconds until another attempt makes sense, by refusal.
@@ -29,6 +33,10 @@
 MAX_JITTER_FACTOR: Final = 2.0
 #: The longest delay for a customer that has used up its rate.
 MAX_RATE_RETRY_SECONDS: Final = 5.0
+#: The bounds of the delay while all upstreams of a service state limits. Limits
+#: can end at any moment, so callers return early enough to benefit.
+MIN_LIMITED_RETRY_SECONDS: Final = 0.1
+MAX_LIMITED_RETRY_SECONDS: Final = 2.0
 
 
 def retry_after_seconds(
@@ -37,6 +45,8 @@
     """Returns the seconds until the caller should retry, or None."""
     if refusal is refusals.RATE_EXCEEDED:
         return _seconds_until_token(node, call, now)
+    if refusal is refusals.UPSTREAMS_LIMITED:
+        return _seconds_within_limits(node, call)
     seconds = RETRY_SECONDS.get(refusal)
     if not seconds:
         return seconds
@@ -56,3 +66,25 @@
         MAX_RATE_RETRY_SECONDS,
         node.rng.uniform(1, MAX_JITTER_FACTOR) * missing / customer.rate,
     )
+
+
+def _seconds_within_limits(node: Node, call: Call) -> float:
+    """Returns when the upstreams of a call have accepted those that wait."""
+    route = resolve(node.snapshot, call.method, call.path, call.host)
+    seconds = MIN_LIMITED_RETRY_SECONDS
+    if isinstance(route, Route):
+        seconds = max(seconds, _seconds_for_waiters(node, route.service))
+    return min(
+        MAX_LIMITED_RETRY_SECONDS,
+        seconds * node.rng.uniform(1, MAX_JITTER_FACTOR),
+    )
+
+
+def _seconds_for_waiters(node: Node, name: str) -> float:
+    service = node.snapshot.services.get(name)
+    queue = node.queues.by_service.get(name)
+    if service is None or not service.upstreams:
+        return 0
+    waiting = len(queue) if queue is not None else 0
+    rate = accepted_rate(node, usable_upstreams(node, service, frozenset()))
+    return (waiting + 1) / rate if rate else 0
--- a/chervilstep/queries/soonest.py
+++ b/chervilstep/queries/soonest.py
@@ -12,6 +12,7 @@
 from chervilstep.hooks import POLICIES
 from chervilstep.node import Node
 from chervilstep.queries.coldstart import is_within_cold_limit
+from chervilstep.queries.throttling import active_throttle
 from chervilstep.reports import LoadReport
 from chervilstep.services import Service, Upstream
 from chervilstep.types import Instant
@@ -40,6 +41,9 @@
 #: The cost factor of an upstream in another zone: traffic between zones is
 #: billed, and reports from there are older.
 OTHER_ZONE_COST_FACTOR: Final = 1.8
+#: The cost factor of an upstream with a limit and a token left: a token that is
+#: not used is lost, and the upstreams without a limit have to serve the rest.
+LIMITED_COST_FACTOR: Final = 0.6
 #: The cost factor of an upstream that has recently shed a request.
 SHED_COST_FACTOR: Final = 3.0
 #: The ratio to the typical latency from which an upstream counts as slow.
@@ -93,7 +97,10 @@
     included. Returns None if the upstream has no capacity.
     """
     health = node.health.by_upstream.get(upstream.name, _DEFAULT_HEALTH)
-    means = node.health.means_by_service.get(service.name, _DEFAULT_MEANS)
+    is_limited = active_throttle(node, upstream.name) is not None
+    means = node.health.means_by_service(is_limited=is_limited).get(
+        service.name, _DEFAULT_MEANS
+    )
     report = health.report
     in_flight = node.loads.in_flight(upstream.name) + _other_in_flight(
         health, means, now
@@ -107,6 +114,8 @@
     cost *= _latency_factor(node, service, upstream, now)
     if upstream.zone != node.settings.zone:
         cost *= OTHER_ZONE_COST_FACTOR
+    if is_limited:
+        cost *= LIMITED_COST_FACTOR
     load = node.loads.by_upstream.get(upstream.name)
     if load is not None and load.has_shed_recently(now):
         cost *= SHED_COST_FACTOR
--- a/chervilstep/refusals.py
+++ b/chervilstep/refusals.py
@@ -107,6 +107,11 @@
 NO_UPSTREAM: Final = new_refusal(
     'no-upstream', 503, 'The service has no usable upstream.'
 )
+UPSTREAMS_LIMITED: Final = new_refusal(
+    'upstreams-limited',
+    503,
+    'All upstreams limit their requests, and none is left in time.',
+)
 QUARANTINED: Final = new_refusal(
     'quarantined', 503, 'Requests like this one crashed several upstreams.'
 )
--- a/tests/test_throttling.py
+++ b/tests/test_throttling.py
@@ -6,20 +6,42 @@
 import pytest
 
 from chervilstep.calls import Ending, Outcome
+from chervilstep.commands.limit_loans import (
+    Loan,
+    LoanRequest,
+    handle_loan,
+)
+from chervilstep.commands.limit_updates import LimitUpdate, handle_limit_update
 from chervilstep.commands.throttling import (
     record_answered_limit,
     record_checked_limit,
+    spend_limit_token,
 )
+from chervilstep.exceptions import PeerError
 from chervilstep.platform.dialect import PlatformDialect
+from chervilstep.queries.choice import choose_upstream
+from chervilstep.queries.throttling import may_send_within_limit
 from chervilstep.reports import NO_LIMIT, new_stated_limit, new_unreadable_limit
 from chervilstep.types import Verdict
-from tests.builders import a_node, an_attempt, an_upstream
+from tests.builders import (
+    a_node,
+    a_snapshot,
+    an_attempt,
+    an_upstream,
+    set_instances,
+    some_instances,
+)
 from tests.throttle_builders import (
     StatingUpstream,
     a_calling_fleet,
     a_numbered_call,
 )
-from tests.virtual_builders import most_in_window
+from tests.virtual_builders import (
+    LIMIT_TICKS,
+    PEER_TICKS,
+    VirtualFleet,
+    most_in_window,
+)
 
 UPSTREAM = an_upstream()
 #: The agreed window, and the excess over the limit within it.
@@ -28,6 +50,8 @@
 EXCESS_CALLS = 5
 #: All instances must keep to a limit this long after it was first stated.
 SPREAD_SECONDS = 0.5
+#: How often calls are sent in virtual time.
+STEP_SECONDS = 0.02
 
 
 @pytest.mark.parametrize(
@@ -135,6 +159,214 @@
     return EXCESS_FACTOR * limit * WINDOW_SECONDS + EXCESS_CALLS
 
 
+class SharingFleet:
+    """Instances that list each other and know the limit of an upstream."""
+
+    def __init__(self, size, limit):
+        instances = some_instances(size)
+        self.nodes = []
+        for instance in instances:
+            node = a_node(name=instance.name)
+            set_instances(node, instances)
+            state_limit(node, new_stated_limit(limit), -1, 0)
+            self.nodes.append(node)
+
+    def press(self, seconds):
+        """Sends from each instance whenever allowed; returns the instants."""
+        sent = []
+        for step in range(int(seconds / STEP_SECONDS)):
+            now = step * STEP_SECONDS
+            sent += [now for node in self.nodes if send_call(node, now)]
+        return sent
+
+
+def send_call(node, now):
+    """Sends a call to the upstream if its limit allows that."""
+    if not may_send_within_limit(node, UPSTREAM, now):
+        return False
+    spend_limit_token(node, an_attempt(upstream=UPSTREAM, now=now))
+    return True
+
+
+SIZES = [1, 3, 14, 19, 60, 116]
+
+
+@pytest.mark.parametrize('size', SIZES)
+@pytest.mark.parametrize('limit', [0, 0.3, 0.5, 1.2, 5, 50])
+def test_shares_stay_within_the_limit(size, limit):
+    sent = SharingFleet(size, limit).press(20)
+    assert most_in_window(sent, WINDOW_SECONDS) <= allowed_in_window(limit)
+    # The first tokens take up to 1 / limit to accumulate.
+    assert len(sent) >= 0.9 * 20 * limit - 1
+    assert sent
+
+
+def a_limited_fleet(size, limit, seed=1):
+    """Returns a fleet in which one instance has just heard of a limit."""
+    fleet = VirtualFleet(
+        size, a_snapshot(), seed, ticks=(*PEER_TICKS, *LIMIT_TICKS)
+    )
+    fleet.run(3)
+    hear_limit(fleet, fleet.names[0], new_stated_limit(limit))
+    fleet.run(0.5)
+    return fleet
+
+
+def hear_limit(fleet, name, stated):
+    """Makes an instance hear of a limit in the answer to a request."""
+    state_limit(fleet.nodes[name], stated, fleet.now - 0.01, fleet.now)
+
+
+def press(fleet, seconds):
+    """Sends from each instance whenever allowed; returns the instants."""
+    sent = []
+    end = fleet.now + seconds
+    while fleet.now < end:
+        sent += [
+            fleet.now
+            for node in fleet.nodes.values()
+            if send_call(node, fleet.now)
+        ]
+        fleet.run(STEP_SECONDS)
+    return sent
+
+
+@pytest.mark.parametrize('size', [3, 14])
+@pytest.mark.parametrize('limit', [0.5, 5])
+def test_partition_stays_within_the_limit(size, limit):
+    fleet = a_limited_fleet(size, limit)
+    for name in fleet.names[: size // 3]:
+        fleet.isolate(name)
+    sent = press(fleet, 15)
+    assert most_in_window(sent, WINDOW_SECONDS) <= allowed_in_window(limit)
+
+
+@pytest.mark.parametrize('size', [3, 14])
+@pytest.mark.parametrize('limit', [0.5, 5])
+def test_restarts_stay_within_the_limit(size, limit):
+    """A third of the instances is killed and started again, one by one."""
+    fleet = a_limited_fleet(size, limit)
+    sent = []
+    for name in fleet.names[: max(1, size // 3)]:
+        fleet.kill(name)
+        sent += press(fleet, 0.5)
+        fleet.start(name)
+        hear_limit(fleet, name, new_stated_limit(limit))
+        sent += press(fleet, 1)
+    sent += press(fleet, 4)
+    assert most_in_window(sent, WINDOW_SECONDS) <= allowed_in_window(limit)
+
+
+@pytest.mark.parametrize('limit', [0.5, 5])
+def test_planned_stops_stay_within_the_limit(limit):
+    fleet = a_limited_fleet(14, limit)
+    sent = []
+    for name in fleet.names[:4]:
+        fleet.leave(name)
+        sent += press(fleet, 2)
+        fleet.start(name)
+    assert most_in_window(sent, WINDOW_SECONDS) <= allowed_in_window(limit)
+
+
+def test_restarted_instance_hears_of_limits_from_its_peers():
+    fleet = a_limited_fleet(14, 5)
+    fleet.kill(fleet.names[-1])
+    fleet.start(fleet.names[-1])
+    fleet.run(1)
+    assert known_limit(fleet.nodes[fleet.names[-1]]) == 5
+
+
+def test_limit_and_its_end_reach_every_instance():
+    fleet = a_limited_fleet(14, 5)
+    assert {known_limit(node) for node in fleet.nodes.values()} == {5}
+    hear_limit(fleet, fleet.names[3], NO_LIMIT)
+    fleet.run(0.5)
+    assert {known_limit(node) for node in fleet.nodes.values()} == {None}
+
+
+def test_older_report_of_a_peer_does_not_bring_a_limit_back():
+    fleet = a_limited_fleet(3, 5)
+    fleet.isolate(fleet.names[2])
+    fleet.run(1)
+    hear_limit(fleet, fleet.names[0], NO_LIMIT)
+    fleet.run(10)
+    fleet.heal()
+    fleet.run(5)
+    assert {known_limit(node) for node in fleet.nodes.values()} == {None}
+
+
+@pytest.mark.parametrize('size', [4, 14, 40])
+@pytest.mark.parametrize('limit', [2, 5])
+def test_limit_is_used_wherever_the_calls_arrive(size, limit):
+    """Calls at twice the limit, each at a random instance, wait briefly."""
+    fleet = a_limited_fleet(size, limit)
+    end = fleet.now + 8
+    sent = []
+    pending = []
+    while fleet.now < end:
+        node = fleet.nodes[fleet.rng.choice(fleet.names)]
+        waiting_until = fleet.now + 0.5
+        node.loads.service_load('strike', 8).start_attempt()
+        next_call_at = fleet.now + fleet.rng.expovariate(2 * limit)
+        pending.append((node, waiting_until))
+        while fleet.now < next_call_at:
+            sent += send_pending(fleet, pending)
+            fleet.run(STEP_SECONDS)
+    assert len(sent) >= 0.8 * limit * 8
+    assert most_in_window(sent, WINDOW_SECONDS) <= allowed_in_window(limit)
+
+
+def send_pending(fleet, pending):
+    """Sends the calls that wait; returns the instants at which they were."""
+    sent = []
+    for node, waiting_until in tuple(pending):
+        is_sent = send_call(node, fleet.now)
+        if is_sent or fleet.now >= waiting_until:
+            pending.remove((node, waiting_until))
+            node.loads.service_load('strike', 8).end_attempt()
+        if is_sent:
+            sent.append(fleet.now)
+    return sent
+
+
+@pytest.mark.parametrize(
+    'entry',
+    [None, (), (5, 1), (-1, 1, 1), (float('nan'), 1, 1), (float('inf'), 1, 1)]
+    + [('5', 1, 1), (True, 1, 1), (5, -1, 1), (5, 1, 1.5), (5, 10**400, 1)]
+    + [(10**400, 1, 1), (5, None, 1)],
+)
+def test_malformed_limit_of_a_peer_raises_peer_error(entry):
+    node = a_node()
+    entries = {'strike-2': (5, 1, 1), UPSTREAM.name: entry}
+    with pytest.raises(PeerError):
+        handle_limit_update(node, 'entry-2', LimitUpdate(entries), 0)
+    assert not node.throttles.by_upstream
+
+
+@pytest.mark.parametrize('names', [None, 'strike-1', (1,), {'strike-1': 1}])
+def test_malformed_loan_raises_peer_error(names):
+    for message_class in (LoanRequest, Loan):
+        with pytest.raises(PeerError):
+            message_class(names)
+
+
+def test_loan_that_was_not_requested_is_ignored():
+    node = SharingFleet(14, 0.5).nodes[0]
+    handle_loan(node, 'entry-2', Loan((UPSTREAM.name, 'unknown')), 0.1)
+    assert not node.throttles.by_upstream[UPSTREAM.name].has_loan(0.1)
+
+
+def test_limited_upstream_without_a_token_is_not_chosen():
+    node = a_node()
+    service = node.snapshot.services['strike']
+    for upstream in service.upstreams[:2]:
+        state_limit(node, new_stated_limit(0), 0, 1, upstream)
+    chosen = {
+        choose_upstream(node, service, frozenset(), 1.1) for _ in range(30)
+    }
+    assert chosen == {service.upstreams[2]}
+
+
 async def send_calls(fleet, calls_per_second, seconds):
     """Sends calls at a steady rate to one instance after another."""
     calls = []
@@ -154,7 +386,7 @@
         limited, other = StatingUpstream(limit=1), StatingUpstream()
         async with a_calling_fleet(4, limited, other) as fleet:
             await send_calls(fleet, 60, SPREAD_SECONDS + 4.5)
-        since = limited.first_stated_at + SPREAD_SECONDS
+        since = limited.arrived_at[0] + SPREAD_SECONDS
         counted = [at for at in limited.arrived_at if at >= since]
         assert most_in_window(counted, WINDOW_SECONDS) <= allowed_in_window(1)
 
--- a/tests/throttle_builders.py
+++ b/tests/throttle_builders.py
@@ -43,7 +43,6 @@
     def __init__(self, limit=None):
         self.limit = limit
         self.arrived_at = []
-        self.first_stated_at = None
         self._writers = []
 
     async def start(self):
@@ -69,8 +68,6 @@
         limit = b''
         if self.limit is not None:
             limit = f'Server-Limit: {self.limit}\r\n'.encode()
-            if self.first_stated_at is None:
-                self.first_stated_at = time.monotonic()
         return (
             b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Request-Id: '
             + request_id
--- a/tests/virtual_builders.py
+++ b/tests/virtual_builders.py
@@ -44,6 +44,7 @@
     'replica-postponed',
     'section-ask',
 )
+LIMIT_TICKS = ('limits', 'limit-shares', 'limit-loans')
 load_commands_and_queries()
 
 
@@ -63,7 +64,8 @@
 class VirtualFleet:
     """Instances, the streams between them, and injected faults."""
 
-    def __init__(self, size, snapshot=None, seed=1, seeds=3):
+    def __init__(self, size, snapshot=None, seed=1, seeds=3, ticks=PEER_TICKS):
+        self.ticks = ticks
         self.rng = random.Random(seed)
         self.snapshot = a_snapshot() if snapshot is None else snapshot
         self.now = 1000.0
@@ -101,7 +103,7 @@
         self.nodes[name] = node
         gossip.join(node, self.now)
         self._schedule(self.rng.uniform(0, 0.3), self._reconcile, node)
-        for tick in PEER_TICKS:
+        for tick in self.ticks:
             period = TICKS.find(tick).period_seconds
             self._schedule(self.rng.uniform(0, period), self._tick, node, tick)
 
