Read the answer behind a second copy of an earlier one

Callers waited until their deadline and were told that their request may have run. A server that sends an earlier answer once more on a kept connection is recognised by the echoed id, and that copy was skipped; but the reader of the next answer waited for the end of a request that it had not sent, so the true answer was never returned.

The reader is now told that the request is complete.

--- a/chervilstep/adapters/pool.py
+++ b/chervilstep/adapters/pool.py
@@ -186,6 +186,9 @@
             if self._dialect.matches_attempt(attempt, reader.headers):
                 return reader
             http = http1connection.HTTP1Connection(stream, True, self._params)
+            # The request is already sent; otherwise the reader would wait for
+            # its end.
+            http.finish()
             reader = self._new_reader(attempt)
             reader.forbid_reuse()
         await http.read_response(reader)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -3,11 +3,12 @@
 import hashlib
 import math
 
+from chervilstep.adapters.dialect import NATIVE
 from chervilstep.calls import Answer, Attempt, Call, Ending, Outcome, Ticket
 from chervilstep.members import Instance, MemberRecord, MemberState
 from chervilstep.node import Node, new_node
 from chervilstep.services import Service, Upstream
-from chervilstep.settings import Settings
+from chervilstep.settings import Profile, Settings
 from chervilstep.snapshot import Customer, Priority, Route, Snapshot, ZoneState
 from chervilstep.types import Deadline, Verdict, new_deadline
 
@@ -28,7 +29,13 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
-def a_settings(name='entry-1', zone='akl', source='file:unused.toml', seeds=()):
+def a_settings(
+    name='entry-1',
+    zone='akl',
+    source='file:unused.toml',
+    seeds=(),
+    dialect=NATIVE,
+):
     return Settings(
         name=name,
         zone=zone,
@@ -38,6 +45,7 @@
         configuration_source=source,
         seeds=dict(seeds),
         peer_secret='test-secret',
+        profile=Profile(dialect=dialect),
     )
 
 
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -5,9 +5,15 @@
 import pytest
 
 from chervilstep.calls import Ending
+from chervilstep.platform.dialect import PLATFORM_DIALECT
 from chervilstep.types import Verdict
 from tests import builders, wire_builders
-from tests.wire_builders import a_live_attempt, a_pool, a_raw_upstream
+from tests.wire_builders import (
+    a_live_attempt,
+    a_pool,
+    a_raw_upstream,
+    an_identified_call,
+)
 
 HEAD = b'HTTP/1.1 200 OK\r\n'
 
@@ -132,3 +138,51 @@
         assert b'Chervilstep-Deadline-Ms: 4' in head
 
     asyncio.run(scenario())
+
+
+def a_platform_answer(request_id=None, status=b'200 OK', extra=b''):
+    echo = b''
+    if request_id is not None:
+        echo = b'X-Request-Id: ' + request_id.encode() + b'\r\n'
+    return (
+        b'HTTP/1.1 '
+        + status
+        + b'\r\n'
+        + echo
+        + extra
+        + b'Content-Length: 2\r\n\r\nok'
+    )
+
+
+def a_platform_refusal(request_id=None):
+    return a_platform_answer(request_id, b'503 Full', b'X-Not-Executed: 1\r\n')
+
+
+def send_identified_calls(answers, count=2):
+    """Sends calls one after another; returns the outcomes and the server."""
+
+    async def scenario():
+        pool = a_pool(dialect=PLATFORM_DIALECT)
+        outcomes = []
+        async with a_raw_upstream(answers) as (server, upstream):
+            for number in range(count):
+                call = an_identified_call(f'call-{number}')
+                outcomes.append(
+                    await pool.send(a_live_attempt(upstream, call=call))
+                )
+            pool.close()
+        return outcomes, server
+
+    return asyncio.run(scenario())
+
+
+def test_second_copy_of_a_refusal_is_skipped():
+    (first, second), server = send_identified_calls(
+        [
+            a_platform_refusal('call-0'),
+            a_platform_refusal('call-0') + a_platform_answer('call-1'),
+        ]
+    )
+    assert first.verdict is Verdict.NOT_RUN
+    assert second.verdict is Verdict.RAN
+    assert server.connections == 1
--- a/tests/throttle_builders.py
+++ b/tests/throttle_builders.py
@@ -18,11 +18,11 @@
 from chervilstep.platform.dialect import PLATFORM_DIALECT
 from chervilstep.queries.soonest import SOONEST
 from chervilstep.services import Service
-from chervilstep.settings import Profile, Settings
 from chervilstep.types import new_deadline
 from tests.builders import (
     KEY,
     a_customer,
+    a_settings,
     a_snapshot,
     an_upstream,
     digest_key,
@@ -77,19 +77,6 @@
         )
 
 
-def a_platform_settings(name='entry-1'):
-    return Settings(
-        name=name,
-        zone='akl',
-        entry_address='127.0.0.1:0',
-        peer_address='127.0.0.1:0',
-        admin_address='127.0.0.1:0',
-        configuration_source='file:unused.toml',
-        peer_secret='test-secret',
-        profile=Profile(dialect=PLATFORM_DIALECT),
-    )
-
-
 class CallingFleet:
     """Instances that send calls to upstreams over real connections."""
 
@@ -100,7 +87,9 @@
         self._pools = []
         self._tickers = []
         for instance in instances:
-            node = new_node(a_platform_settings(instance.name), size)
+            node = new_node(
+                a_settings(instance.name, dialect=PLATFORM_DIALECT), size
+            )
             node.configuration.publish(snapshot)
             set_instances(node, instances)
             for other in instances:
--- a/tests/wire_builders.py
+++ b/tests/wire_builders.py
@@ -6,10 +6,11 @@
 
 from tornado import httpserver, netutil
 
+from chervilstep.adapters.dialect import NATIVE
 from chervilstep.adapters.entry import new_entry_front_end
 from chervilstep.adapters.peers import new_peer_streams
 from chervilstep.adapters.pool import new_pool
-from chervilstep.calls import Attempt
+from chervilstep.calls import Attempt, Call
 from chervilstep.members import Instance
 from chervilstep.types import new_deadline
 from tests import builders
@@ -22,10 +23,13 @@
 
 
 class RawUpstream:
-    """Answers each request head with fixed bytes and optionally closes."""
+    """Answers each request head with fixed bytes and optionally closes.
+
+    A list of answers is used up from its start, except for the last one.
+    """
 
     __slots__ = (
-        '_answer',
+        '_answers',
         '_closes',
         '_server',
         '_writers',
@@ -34,7 +38,7 @@
     )
 
     def __init__(self, answer, closes):
-        self._answer = answer
+        self._answers = answer if isinstance(answer, list) else [answer]
         self._closes = closes
         self._writers = []
         self.connections = 0
@@ -53,6 +57,12 @@
         for writer in self._writers:
             await close_writer(writer)
 
+    async def write(self, sent):
+        """Sends bytes on each connection without being asked."""
+        for writer in self._writers:
+            writer.write(sent)
+            await writer.drain()
+
     async def _serve(self, reader, writer):
         self._writers.append(writer)
         self.connections += 1
@@ -60,7 +70,8 @@
             while True:
                 head = await reader.readuntil(b'\r\n\r\n')
                 self.requests.append(head)
-                writer.write(self._answer)
+                writer.write(self._answers[0])
+                self._answers = self._answers[1:] or self._answers
                 await writer.drain()
                 if self._closes:
                     break
@@ -84,8 +95,21 @@
         await writer.wait_closed()
 
 
-def a_pool(is_trusted=lambda name, opened_at: True):
-    return new_pool(builders.a_settings(), time.monotonic, is_trusted)
+def a_pool(is_trusted=lambda name, opened_at: True, dialect=NATIVE):
+    settings = builders.a_settings(dialect=dialect)
+    return new_pool(settings, time.monotonic, is_trusted)
+
+
+def an_identified_call(request_id):
+    return Call(
+        'GET',
+        '/strike/1',
+        (('X-Request-Id', request_id),),
+        b'',
+        key_digest=None,
+        deadline=None,
+        request_id=request_id,
+    )
 
 
 def a_live_attempt(upstream, seconds=5, call=None):
