Do not trust an answer without an id on a kept connection

Reported by operators of similar systems: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told that a request had not run which ran. It could happen here: an answer without an id was taken for the answer to any request.

An answer that does not echo the id of its request is now trusted only as the first one on its connection. Otherwise the request may have run, and the connection is closed. Both tests (a refusal and a success) failed before.

--- a/chervilstep/adapters/dialect.py
+++ b/chervilstep/adapters/dialect.py
@@ -33,6 +33,13 @@
     def matches_attempt(self, attempt: Attempt, headers: HeaderMap) -> bool:
         """Whether a response belongs to the attempt."""
 
+    def identifies_attempt(self, attempt: Attempt, headers: HeaderMap) -> bool:
+        """Whether no other request can have the response.
+
+        A response that does not identify its attempt is trusted only on a new
+        connection, where no earlier request can have it.
+        """
+
     def refusal_ending(
         self, answer: Answer, reader: AnswerReader
     ) -> Ending | None:
@@ -86,6 +93,10 @@
         """Always True: responses do not name their request."""
         return True
 
+    def identifies_attempt(self, attempt: Attempt, headers: HeaderMap) -> bool:
+        """Always True: responses do not name their request."""
+        return True
+
     def refusal_ending(
         self, answer: Answer, reader: AnswerReader
     ) -> Ending | None:
--- a/chervilstep/adapters/pool.py
+++ b/chervilstep/adapters/pool.py
@@ -36,13 +36,14 @@
 class Connection:
     """An open connection to an upstream."""
 
-    __slots__ = ('_idle_deadline', '_opened_at', '_stream')
+    __slots__ = ('_idle_deadline', '_opened_at', '_stream', '_was_used')
 
     def __init__(self, stream: InspectableStream, opened_at: Instant) -> None:
         """Creates a connection on a connected stream."""
         self._stream = stream
         self._opened_at = opened_at
         self._idle_deadline = new_deadline(opened_at, IDLE_TIMEOUT_SECONDS)
+        self._was_used = False
 
     @property
     def stream(self) -> InspectableStream:
@@ -59,6 +60,11 @@
         """The deadline after which the idle connection is not reused."""
         return self._idle_deadline
 
+    @property
+    def was_used(self) -> bool:
+        """Whether an earlier request was sent on the connection."""
+        return self._was_used
+
     def mark_idle(self, now: Instant, keep_alive_seconds: float | None) -> None:
         """Starts the idle timeout.
 
@@ -68,6 +74,7 @@
         seconds: float = IDLE_TIMEOUT_SECONDS
         if keep_alive_seconds is not None:
             seconds = min(seconds, KEEP_ALIVE_FRACTION * keep_alive_seconds)
+        self._was_used = True
         self._idle_deadline = new_deadline(now, seconds)
 
 
@@ -224,6 +231,12 @@
         if answer is None or not self._is_complete(connection, reader):
             connection.stream.close()
             return self._incomplete_outcome(reader)
+        if connection.was_used and not self._dialect.identifies_attempt(
+            attempt, reader.headers
+        ):
+            # This may be a second copy of the answer to an earlier request.
+            connection.stream.close()
+            return self._failed_outcome(Ending.BAD_ANSWER, Verdict.MAY_HAVE_RUN)
         if reader.keeps_alive:
             self._release(
                 attempt.upstream.name, connection, reader.keep_alive_seconds
--- a/chervilstep/platform/dialect.py
+++ b/chervilstep/platform/dialect.py
@@ -67,6 +67,11 @@
         echoed = headers.get(REQUEST_ID_HEADER)
         return echoed is None or echoed == attempt.ticket.call.request_id
 
+    def identifies_attempt(self, attempt: Attempt, headers: HeaderMap) -> bool:
+        """Whether the response has the ID of the request, if it has one."""
+        echoed = headers.get(REQUEST_ID_HEADER, '')
+        return echoed == attempt.ticket.call.request_id
+
     def refusal_ending(
         self, answer: Answer, reader: AnswerReader
     ) -> Ending | None:
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -176,6 +176,24 @@
     return asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(
+    'stale', [a_platform_refusal(), a_platform_answer()], ids=['503', '200']
+)
+def test_answer_without_an_id_on_a_kept_connection_is_not_trusted(stale):
+    """A second copy of an earlier answer must not become the next one."""
+    (_, second), server = send_identified_calls(
+        [a_platform_answer('call-0'), stale]
+    )
+    assert server.connections == 1
+    assert second.ending is Ending.BAD_ANSWER
+    assert second.verdict is Verdict.MAY_HAVE_RUN
+
+
+def test_refusal_without_an_id_on_a_new_connection_is_trusted():
+    (outcome,), _ = send_identified_calls([a_platform_refusal()], count=1)
+    assert outcome.verdict is Verdict.NOT_RUN
+
+
 def test_second_copy_of_a_refusal_is_skipped():
     (first, second), server = send_identified_calls(
         [
