Do not read bytes that came before a request as its answer

A server may send a second copy of an answer while a kept connection is idle. The pool and the client of health checks looked only at the bytes that the loop had already read; bytes that were still in the kernel were taken for the answer to the next request, so a caller could be told that a request had not run which ran.

Both now look into the socket before a connection is used again, and use a new one if there is anything to read.

--- a/chervilstep/adapters/keepalive.py
+++ b/chervilstep/adapters/keepalive.py
@@ -7,6 +7,7 @@
 
 from chervilstep.adapters.answers import AnswerReader
 from chervilstep.adapters.streams import (
+    InspectableStream,
     connect,
     enable_keep_alive,
     ignore_exception,
@@ -53,7 +54,7 @@
     def __init__(self, address: str, max_body_bytes: int) -> None:
         """Creates a client of ``ip:port``, not connected yet."""
         self._address = address
-        self._stream: iostream.IOStream | None = None
+        self._stream: InspectableStream | None = None
         self._params = http1connection.HTTP1ConnectionParameters(
             max_header_size=MAX_HEAD_BYTES, max_body_size=max_body_bytes
         )
@@ -89,7 +90,10 @@
 
         The server may have closed the persistent connection.
         """
-        if self._stream is None or self._stream.closed():
+        if self._stream is not None and self._stream.has_unread_input:
+            # Such input would be read as the answer to this request.
+            self.close()
+        if self._stream is None:
             return await self._exchange(target)
         try:
             fetched = await self._exchange(target)
@@ -115,7 +119,7 @@
             self.close()
         return None if answer is None else FetchedAnswer(answer, reader.headers)
 
-    async def _open_stream(self) -> iostream.IOStream:
+    async def _open_stream(self) -> InspectableStream:
         if self._stream is None or self._stream.closed():
             self._stream = await connect(self._address)
             # Detects a dead connection while an answer is awaited.
--- a/chervilstep/adapters/pool.py
+++ b/chervilstep/adapters/pool.py
@@ -287,7 +287,7 @@
     ) -> bool:
         stream = connection.stream
         # Unsolicited input would be read as the response to the next request.
-        if stream.closed() or stream.has_unread_bytes:
+        if stream.has_unread_input:
             return False
         if connection.idle_deadline.has_passed(now):
             return False
@@ -300,9 +300,7 @@
         keep_alive_seconds: float | None,
     ) -> None:
         stream = connection.stream
-        if stream.closed():
-            return
-        if stream.has_unread_bytes:
+        if stream.has_unread_input:
             stream.close()
             return
         connections = self._idle.setdefault(name, deque())
--- a/chervilstep/adapters/streams.py
+++ b/chervilstep/adapters/streams.py
@@ -19,15 +19,26 @@
 
 @final
 class InspectableStream(iostream.IOStream):
-    """A stream that exposes whether its read buffer holds bytes."""
+    """A stream that exposes whether there is input that was not read."""
 
     # The base class has a __dict__, and this class adds no attributes.
     __slots__ = ()
 
     @property
-    def has_unread_bytes(self) -> bool:
-        """Whether received bytes have not been read yet."""
-        return bool(self._read_buffer_size)
+    def has_unread_input(self) -> bool:
+        """Whether bytes, the end of the stream or an error were not read yet.
+
+        They may still be in the kernel if the loop has not run since.
+        """
+        if self._read_buffer_size or self.closed():
+            return True
+        try:
+            self.socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
 
 
 async def connect(address: str) -> InspectableStream:
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -1,6 +1,7 @@
 """Tests of the endings and verdicts of attempts on loopback connections."""
 
 import asyncio
+import time
 
 import pytest
 
@@ -204,3 +205,19 @@
     assert first.verdict is Verdict.NOT_RUN
     assert second.verdict is Verdict.RAN
     assert server.connections == 1
+
+
+def test_bytes_that_arrive_before_the_request_are_not_its_answer():
+    async def scenario():
+        pool = a_pool()
+        async with a_raw_upstream() as (server, upstream):
+            await pool.send(a_live_attempt(upstream))
+            await server.write(wire_builders.NOT_RUN)
+            # Leaves the bytes in the kernel: the loop does not run meanwhile.
+            time.sleep(0.05)
+            outcome = await pool.send(a_live_attempt(upstream))
+            pool.close()
+        assert outcome.verdict is Verdict.RAN
+        assert server.connections == 2
+
+    asyncio.run(scenario())
