Refuse names, addresses and numbers of the wrong form in the store's items

An item of the store with a list as a name passed the decoder, and publishing the catalog raised TypeError; an infinite number, deep nesting or an address without a port raised elsewhere. Each of them could end the task that follows the store, or fail every call that chose such an upstream.

The decoder now requires text for names, hosts and prefixes, and an IP address and a port for servers; infinite numbers and deep nesting are refused like other malformed values.

--- a/chervilstep/platform/decoding.py
+++ b/chervilstep/platform/decoding.py
@@ -16,6 +16,7 @@
 )
 from chervilstep.exceptions import ItemError
 from chervilstep.queries.headers import digest_key
+from chervilstep.queries.tables import is_address
 from chervilstep.services import ColdStart, Upstream, UpstreamState
 from chervilstep.snapshot import Customer, Priority, Route, RouteOptions
 
@@ -25,7 +26,15 @@
 #: The kind of routes whose requests may run more than once.
 SAFE_KIND: Final = 'safe'
 #: Errors of decoding a value that does not have the expected form.
-DECODE_ERRORS: Final = (ValueError, LookupError, TypeError, AttributeError)
+DECODE_ERRORS: Final = (
+    ValueError,
+    LookupError,
+    TypeError,
+    AttributeError,
+    # Infinite numbers raise the first, deeply nested values the second.
+    OverflowError,
+    RecursionError,
+)
 VERSION_BASE: Final = 16
 #: The slots of a server whose entry states less than one.
 MIN_SLOTS: Final = 1
@@ -71,7 +80,7 @@
     customers = [_customer(each) for each in table.get('tenants', ())]
     customer_names = [customer.name for customer in customers]
     routes = [
-        _route(listener['host'], rule, customer_names)
+        _route(_text(listener['host']), rule, customer_names)
         for listener in table['listeners']
         for rule in listener['ruleSet']
     ]
@@ -96,7 +105,7 @@
 def _customer(table: Table) -> Customer:
     priority = table.get('priority')
     return Customer(
-        table['name'],
+        _require_text(table['name']),
         float(table.get('ratePerS') or 0),
         float(table.get('burst') or 0),
         [digest_key(key) for key in table.get('apiKeys', ())],
@@ -134,9 +143,9 @@
         float(rule['sloS']) if 'sloS' in rule else None,
     )
     route = Route(
-        rule['name'],
-        rule['match']['prefix'],
-        service,
+        _require_text(rule['name']),
+        _text(rule['match']['prefix']),
+        _require_text(service),
         methods=(),
         idempotent=ALL_METHODS if rule['kind'] == SAFE_KIND else (),
         customers=customers,
@@ -155,7 +164,9 @@
         # The number of requests per second that a cold server can handle.
         cold_start = ColdStart(cold_seconds, float(table['coldPerS']))
     return ServiceConfig(
-        table['name'], table.get('healthPath') or '', cold_start
+        _require_text(table['name']),
+        _text(table.get('healthPath') or ''),
+        cold_start,
     )
 
 
@@ -168,7 +179,7 @@
     name = identity if started_ms is None else f'{identity}/{started_ms}'
     upstream = Upstream(
         name,
-        _require_text(table['address']),
+        _require_address(table['address']),
         _require_text(info['zone']),
         max(MIN_SLOTS, int(info['slots'])),
         _UPSTREAM_STATES[status['state']],
@@ -181,12 +192,26 @@
     )
 
 
-def _require_text(field: object) -> str:
-    if not isinstance(field, str) or not field:
-        raise TypeError('a required field is empty or not a string')
+def _text(field: object) -> str:
+    if not isinstance(field, str):
+        raise TypeError('a field is not a string')
     return field
 
 
+def _require_text(field: object) -> str:
+    text = _text(field)
+    if not text:
+        raise ValueError('a required field is empty')
+    return text
+
+
+def _require_address(field: object) -> str:
+    text = _require_text(field)
+    if not is_address(text):
+        raise ValueError('an address is not an IP address and a port')
+    return text
+
+
 def _priority(rank: int) -> Priority:
     return Priority(min(max(int(rank), Priority.URGENT), Priority.BULK))
 
--- a/chervilstep/platform/store.py
+++ b/chervilstep/platform/store.py
@@ -130,7 +130,7 @@
 def _parse_table(body: bytes) -> dict[str, Any]:
     try:
         table = json.loads(body)
-    except ValueError as fault:
+    except DECODE_ERRORS as fault:
         raise StoreError(
             f'the answer of the store is not JSON: {fault}'
         ) from fault
--- a/chervilstep/queries/tables.py
+++ b/chervilstep/queries/tables.py
@@ -14,6 +14,7 @@
 #: Names are used in metric labels and URLs, so few characters are allowed.
 NAME_PATTERN: Final = re.compile('[a-z0-9][a-z0-9._-]{0,63}')
 MAX_PORT: Final = 65535
+_PORT_PATTERN: Final = re.compile('[0-9]{1,5}')
 
 
 @final
@@ -201,7 +202,7 @@
 def is_address(text: str) -> bool:
     """Whether ``text`` is an IP address and a port, joined by a colon."""
     host, _, port = text.rpartition(':')
-    if not (port.isascii() and port.isdigit() and int(port) <= MAX_PORT):
+    if not _PORT_PATTERN.fullmatch(port) or int(port) > MAX_PORT:
         return False
     try:
         ipaddress.ip_address(host.removeprefix('[').removesuffix(']'))
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -112,6 +112,11 @@
         encode_json(a_server_entry(born='yesterday')),
         encode_json(a_server_entry(info={'service': 'x'})),
         encode_json(a_server_entry(status=None)),
+        encode_json(a_server_entry(address='127.0.0.1')),
+        encode_json(a_server_entry(address='localhost:80')),
+        encode_json(a_server_entry(address='127.0.0.1:65536')),
+        encode_json(a_server_entry(address='127.0.0.1:' + '9' * 5000)),
+        b'[' * 100_000,
     ],
 )
 def test_malformed_upstream_entries_are_refused(content):
@@ -126,6 +131,15 @@
         {'limits': {}},
         {'listeners': [{'host': HOST}]},
         {'tenants': [{}]},
+        {'tenants': [{'name': ['cuka620']}]},
+        {'clusters': [{'name': ['huvo11a']}]},
+        {'clusters': [{'name': ''}]},
+        {'clusters': [{'name': 'huvo11a', 'healthPath': ['/health']}]},
+        {'listeners': [{'host': [HOST], 'ruleSet': [a_rule()]}]},
+        {'rules': [a_rule(name=['r-1'])]},
+        {'rules': [a_rule(match={'prefix': ['/']})]},
+        {'rules': [a_rule(action={'service': ['a'], 'timeoutS': 1})]},
+        {'limits': {'maxHeaderBytes': float('inf')}},
     ],
 )
 def test_malformed_configurations_are_refused(changes):
