Read every Connection header, and bound numbers of milliseconds

Only the first Connection header was read, so headers that a second one names went on to the upstream or the caller. A deadline of thousands of digits raised ValueError, which the platform's front end did not catch: its caller got no answer. Every Connection header counts now; numbers of up to 20 digits are lowered to a bound and longer ones are ignored.

Run on the old code: the header that the second Connection header names is forwarded, and 5,000 digits raise ValueError.

--- a/chervilstep/queries/headers.py
+++ b/chervilstep/queries/headers.py
@@ -1,6 +1,7 @@
 """Rules for the headers of requests and answers."""
 
 import hashlib
+import re
 from collections.abc import Iterable
 from typing import Final
 from urllib.parse import parse_qsl
@@ -20,6 +21,10 @@
 #: Set by an upstream that did not run the request.
 NOT_RUN_HEADER: Final = 'X-Not-Run'
 
+#: Longer times are not told apart; this is about eleven days.
+MAX_MILLISECONDS: Final = 10**9
+#: Python refuses to convert numbers of thousands of digits.
+_MILLISECONDS_PATTERN: Final = re.compile('[0-9]{1,20}')
 _BEARER_PREFIX: Final = 'bearer '
 
 #: Hop-by-hop headers (RFC 9110, section 7.6.1), and headers that the HTTP
@@ -84,10 +89,13 @@
 
 
 def parse_milliseconds(text: str | None) -> int | None:
-    """Returns the whole number in a header value, or None if it is invalid."""
-    if text is None or not text.isascii() or not text.isdigit():
+    """Returns the whole number in a header value, or None if it is invalid.
+
+    Numbers above ``MAX_MILLISECONDS`` are lowered to it.
+    """
+    if text is None or not _MILLISECONDS_PATTERN.fullmatch(text):
         return None
-    return int(text)
+    return min(int(text), MAX_MILLISECONDS)
 
 
 def _remove_headers(
@@ -104,8 +112,10 @@
 
 
 def _connection_options(pairs: Headers) -> frozenset[str]:
-    """Returns the header names that a ``Connection`` header lists."""
-    for name, text in pairs:
-        if name.lower() == 'connection':
-            return frozenset(part.strip().lower() for part in text.split(','))
-    return frozenset()
+    """Returns the header names that the ``Connection`` headers list."""
+    return frozenset(
+        part.strip().lower()
+        for name, text in pairs
+        if name.lower() == 'connection'
+        for part in text.split(',')
+    )
