Answer a failed request on a pipelined connection, and drop late input

If the handler of a request raised, its caller got no response, and the response to the next pipelined request took its place. The server now answers 500 and logs the fault.

After the last request of a connection, all further input was collected in memory, up to 100 MB a connection, to detect that the caller leaves. It is now dropped as it arrives.

--- a/chervilstep/adapters/http1.py
+++ b/chervilstep/adapters/http1.py
@@ -10,13 +10,15 @@
 import contextlib
 from collections import deque
 from collections.abc import Awaitable, Callable
+from http import HTTPStatus
 from typing import Final, Protocol, TypeAlias, final
 
+import structlog
 from tornado import httputil, iostream, tcpserver
 
 from chervilstep.adapters.framing import Framing, parse_framing, read_body
 from chervilstep.adapters.requests import Request, Response, parse_head
-from chervilstep.adapters.streams import ignore_exception
+from chervilstep.adapters.streams import discard_input, ignore_exception
 from chervilstep.exceptions import RequestError
 
 #: The limit on concurrent requests of a connection, where reading pauses.
@@ -27,6 +29,7 @@
 #: larger ones close the connection.
 HEAD_READ_FACTOR: Final = 2
 
+_log = structlog.get_logger()
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 _HEAD_END: Final = rb'\r?\n\r?\n'
 
@@ -139,9 +142,8 @@
             self._start_exchange(
                 self._server.handle(request), is_head=request.method == 'HEAD'
             )
-        # Discards further input until the caller closes the connection.
-        await self._stream.read_until_close()
-        raise iostream.StreamClosedError
+        # Detects that the caller closes the connection.
+        await discard_input(self._stream)
 
     async def _read_request(self) -> Request:
         limits = self._server.limits
@@ -190,11 +192,9 @@
 
     async def _discard_input(self) -> None:
         try:
-            await self._stream.read_until_close()
+            await discard_input(self._stream)
         except iostream.StreamClosedError:
             self._abort()
-            return
-        self._abort()
 
     def _flush_responses(self, task: 'asyncio.Task[Response]') -> None:
         """Writes finished responses, in the order of their requests."""
@@ -212,7 +212,7 @@
         if self._server.is_lame_duck:
             self._is_closing = True
         closes = self._is_closing and not self._exchanges
-        response = exchange.task.result()
+        response = _response_of(exchange.task)
         encoded = response.encode(is_head=exchange.is_head, closes=closes)
         try:
             written = self._stream.write(encoded)
@@ -355,6 +355,18 @@
             await connection.run()
 
 
+def _response_of(task: 'asyncio.Task[Response]') -> Response:
+    """Returns the response of a finished task; a failed one also gets one.
+
+    Without it, the caller would take the next response for this one.
+    """
+    fault = task.exception()
+    if fault is None:
+        return task.result()
+    _log.error('request_failed', fault=repr(fault))
+    return Response(HTTPStatus.INTERNAL_SERVER_ERROR, (), b'')
+
+
 async def _refusal_response(error: RequestError) -> Response:
     return Response(error.status, (), f'{error}\n'.encode())
 
--- a/chervilstep/adapters/streams.py
+++ b/chervilstep/adapters/streams.py
@@ -6,6 +6,8 @@
 
 from tornado import iostream, netutil
 
+from chervilstep.queries.tables import is_address
+
 #: Keep-alive probes start after 1 s idle and are sent every second; the kernel
 #: closes the connection after two without an answer, and also when data is not
 #: acknowledged for 3 s (``TCP_USER_TIMEOUT`` is in milliseconds).
@@ -15,6 +17,8 @@
     (socket.TCP_KEEPCNT, 2),
     (socket.TCP_USER_TIMEOUT, 3000),
 )
+#: How many bytes of unwanted input are read at once.
+DISCARD_CHUNK_BYTES: Final = 64 * 1024
 
 
 @final
@@ -48,6 +52,8 @@
         OSError: The address is not numeric or cannot be connected to.
         StreamClosedError: The connection was refused or lost.
     """
+    if not is_address(address):
+        raise OSError(f'{address!r} is not an IP address and a port')
     host, port = split_address(address)
     family = socket.AF_INET6 if ':' in host else socket.AF_INET
     stream = InspectableStream(socket.socket(family))
@@ -61,6 +67,18 @@
     return stream
 
 
+async def discard_input(stream: iostream.IOStream) -> None:
+    """Reads and drops all further input without keeping it in memory.
+
+    Raises:
+        StreamClosedError: The other end closed the connection.
+    """
+    while True:
+        await stream.read_bytes(DISCARD_CHUNK_BYTES, partial=True)
+        # A read that finds its bytes at once does not yield to the loop.
+        await asyncio.sleep(0)
+
+
 def enable_keep_alive(connection: socket.socket) -> None:
     """Makes the kernel detect that the other end no longer responds."""
     for option, number in _KEEP_ALIVE_OPTIONS:
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import tracemalloc
 
 import pytest
 
@@ -12,6 +13,9 @@
 
 LIMITS = ClientLimits(2048, 4096, 3, 0.3)
 GET = b'GET /%d HTTP/1.1\r\nHost: a\r\n\r\n'
+FAILING_TARGET = '/13'
+#: Much less than a caller sends in the test of discarded input.
+MAX_KEPT_BYTES = 4 * 1024 * 1024
 
 
 class GatedHandler:
@@ -24,6 +28,8 @@
 
     async def answer(self, request):
         self.requests.append(request)
+        if request.target == FAILING_TARGET:
+            raise ValueError('unexpected')
         gate = self.gates.get(request.target)
         try:
             if gate is not None:
@@ -296,3 +302,63 @@
     received = asyncio.run(run())
     assert [body for _, body in split_responses(received)] == [b'/1']
     assert not handler.cancelled
+
+
+def test_failed_request_does_not_get_the_next_response():
+    _, received = send_to_server(GET % 13 + GET % 1)
+    (first, _), (second, body) = split_responses(received)
+    assert first.startswith(b'HTTP/1.1 500')
+    assert second.startswith(b'HTTP/1.1 200')
+    assert body == b'/1'
+
+
+def test_endless_input_after_the_last_request_is_not_kept_in_memory():
+    handler = GatedHandler()
+
+    async def run():
+        handler.gates = {'/0': asyncio.Event()}
+        async with a_server(handler) as (_, port):
+            async with a_raw_client(port) as (_, writer):
+                writer.write(
+                    b'GET /0 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n'
+                )
+                tracemalloc.start()
+                for _ in range(500):
+                    writer.write(b'a' * 65536)
+                    await writer.drain()
+                peak = tracemalloc.get_traced_memory()[1]
+                tracemalloc.stop()
+        return peak
+
+    assert asyncio.run(run()) < MAX_KEPT_BYTES
+
+
+@pytest.mark.parametrize(
+    'sent',
+    [b'GET /' + b'a' * 65536, b'GET / HTTP/1.1\r\n' + b'A: b\r\n' * 10000]
+    + [
+        b'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n'
+        + rest
+        for rest in (
+            b'10\r\n0123456789abcdef\r\n' * 10000,
+            b'0' * 65536,
+            b'0\r\n' + b'A: b\r\n' * 10000,
+        )
+    ],
+    ids=['line', 'headers', 'chunks', 'chunk size', 'trailers'],
+)
+def test_endless_request_is_refused_and_not_run(sent):
+    handler = GatedHandler()
+
+    async def run():
+        async with a_server(handler) as (_, port):
+            async with a_raw_client(port) as (reader, writer):
+                writer.write(sent * 4)
+                # A server that closes with unread input resets the connection.
+                with contextlib.suppress(ConnectionError):
+                    async with asyncio.timeout(2):
+                        await reader.read()
+                return writer.is_closing() or reader.at_eof()
+
+    assert asyncio.run(run())
+    assert not handler.requests
