Borrow tokens of limits only for calls that wait

An instance borrowed a token for each limited upstream of a service while it had any call in flight; most of these tokens expired unused, and each instance sent up to ten requests a second and lender. Tokens are now borrowed for calls that wait in the queue, one for each. What the upstreams of a call accept is worked out once for all waiters instead of once for each.

The test of the use of limits lets calls wait in queues now, as the rule asks; its bounds are the same. New tests play refusals and Retry-After while all upstreams of a service state limits.

--- a/chervilstep/queries/queueing.py
+++ b/chervilstep/queries/queueing.py
@@ -1,10 +1,10 @@
 """Queries on the queues: which calls may wait, are granted or refused."""
 
-import math
 from collections import Counter
 from collections.abc import Iterator
 from typing import Final
 
+from chervilstep.calls import Ticket
 from chervilstep.node import Node
 from chervilstep.progress import Progress
 from chervilstep.queries.choice import (
@@ -74,7 +74,8 @@
     if is_full(node, queue, progress):
         return QUEUE_FULL
     ahead = _waiters_ahead(queue, ticket.priority)
-    if ahead + 1 > max_calls_within_limits(node, progress, now):
+    rate = _accepted_rate(node, ticket.route.service, progress.tried_upstreams)
+    if ahead + 1 > max_calls_until_due(node, ticket, rate, now):
         return UPSTREAMS_LIMITED
     wait = expected_wait(queue, progress, now)
     needed = wait + tail_latency(node, ticket.route.service)
@@ -83,20 +84,21 @@
     return None
 
 
-def max_calls_within_limits(
-    node: Node, progress: Progress, now: Instant
+def max_calls_until_due(
+    node: Node, ticket: Ticket, calls_per_second: float, now: Instant
 ) -> float:
     """Returns how many calls the whole fleet can send until a call is due.
 
-    The result is infinite unless all upstreams have stated a limit.
+    Args:
+        node: The state of this instance.
+        ticket: The ticket of the call.
+        calls_per_second: What the upstreams accept; infinite without limits.
+        now: The current time.
     """
-    name = progress.ticket.route.service
-    service = node.snapshot.services.get(name)
-    if service is None or not node.throttles.by_upstream:
-        return math.inf
-    usable = usable_upstreams(node, service, progress.tried_upstreams)
-    seconds = progress.ticket.deadline.remaining(now) - mean_latency(node, name)
-    return accepted_rate(node, usable) * (max(0, seconds) + BURST_SECONDS)
+    seconds = ticket.deadline.remaining(now) - mean_latency(
+        node, ticket.route.service
+    )
+    return calls_per_second * (max(0, seconds) + BURST_SECONDS)
 
 
 def is_full(node: Node, queue: ServiceQueue, progress: Progress) -> bool:
@@ -218,19 +220,21 @@
 ) -> list[QueueDecision]:
     """Returns the waiters that can no longer be served, with refusals."""
     decisions = []
-    # Most waiters have tried no upstream and share one entry.
-    usable: dict[frozenset[str], bool] = {}
+    # Most waiters have tried no upstream and share one entry. The rate is zero
+    # without a usable upstream.
+    rates: dict[frozenset[str], float] = {}
     waiters = sorted(node.queues.by_service.get(service, ()), key=_urgency)
     kept = 0
     for waiter in waiters:
+        ticket = waiter.progress.ticket
         tried = waiter.progress.tried_upstreams
-        if tried not in usable:
-            usable[tried] = _has_usable_upstream(node, service, tried, now)
+        if tried not in rates:
+            rates[tried] = _accepted_rate(node, service, tried)
         if waiter.deadline.has_passed(now):
             decisions.append(QueueDecision(waiter, QUEUE_TIMEOUT))
-        elif not usable[tried]:
+        elif not rates[tried]:
             decisions.append(QueueDecision(waiter, NO_UPSTREAM))
-        elif kept + 1 > max_calls_within_limits(node, waiter.progress, now):
+        elif kept + 1 > max_calls_until_due(node, ticket, rates[tried], now):
             decisions.append(QueueDecision(waiter, UPSTREAMS_LIMITED))
         else:
             kept += 1
@@ -321,6 +325,14 @@
     return choose_upstream(node, service, progress.tried_upstreams, now)
 
 
+def _accepted_rate(node: Node, name: str, tried: frozenset[str]) -> float:
+    """Returns the calls per second that the usable upstreams accept."""
+    service = node.snapshot.services.get(name)
+    if service is None:
+        return 0
+    return accepted_rate(node, usable_upstreams(node, service, tried))
+
+
 def _urgency(waiter: Waiter) -> tuple[Priority, Instant]:
     return (waiter.priority, waiter.deadline.at)
 
--- a/chervilstep/queries/throttling.py
+++ b/chervilstep/queries/throttling.py
@@ -5,10 +5,11 @@
 token bucket of its share. The buckets need no coordination: however the calls
 arrive, their sum stays within the limit and one second of it at once. With
 one bucket for each instance of a large fleet, the first tokens alone would
-exceed a low limit. An instance without a token borrows one from an instance
-with a share, so that the limit is used wherever the calls arrive.
+exceed a low limit. An instance with waiting calls and no token borrows one from
+an instance with a share, so that the limit is used wherever the calls arrive.
 """
 
+import itertools
 import math
 from collections.abc import Iterable, Mapping
 from typing import Final
@@ -17,7 +18,7 @@
 from chervilstep.node import Node
 from chervilstep.queries.assignment import rendezvous_score
 from chervilstep.queries.slowstart import upstreams_in_service
-from chervilstep.services import Upstream
+from chervilstep.services import Service, Upstream
 from chervilstep.throttles import (
     LOAN_TIMEOUT_SECONDS,
     NO_SHARE,
@@ -132,19 +133,16 @@
 def wanted_loans(node: Node, now: Instant) -> Mapping[str, str]:
     """Returns the upstreams to borrow a token of, and whom to ask for it.
 
-    A token is borrowed while calls of the service wait or are in flight here,
-    and there is none left.
+    Tokens are borrowed only for calls that wait in a queue here, one for each:
+    an unused token would be lost to the lender.
     """
     if not node.throttles.by_upstream:
         return {}
-    wanted = {}
-    for service in node.snapshot.services.values():
-        if not _has_calls(node, service.name):
-            continue
-        for upstream in upstreams_in_service(node, service):
-            lender = _select_lender(node, upstream.name, now)
-            if lender is not None:
-                wanted[upstream.name] = lender
+    wanted: dict[str, str] = {}
+    for name, queue in node.queues.by_service.items():
+        service = node.snapshot.services.get(name)
+        if service is not None and len(queue):
+            wanted.update(_loans_for_queue(node, service, len(queue), now))
     return wanted
 
 
@@ -154,24 +152,38 @@
     return throttle is not None and throttle.own_tokens(now) >= 1
 
 
-def _has_calls(node: Node, service: str) -> bool:
-    load = node.loads.by_service.get(service)
-    if load is not None and load.in_flight:
-        return True
-    return bool(len(node.queues.by_service.get(service, ())))
+def _loans_for_queue(
+    node: Node, service: Service, waiting: int, now: Instant
+) -> Mapping[str, str]:
+    limited = [
+        upstream.name
+        for upstream in upstreams_in_service(node, service)
+        if active_throttle(node, upstream.name) is not None
+    ]
+    without_token = [
+        name for name in limited if not _has_or_awaits_token(node, name, now)
+    ]
+    missing = waiting - (len(limited) - len(without_token))
+    node.rng.shuffle(without_token)
+    lenders = {
+        name: lender
+        for name in without_token
+        if (lender := _select_lender(node, name, now)) is not None
+    }
+    return dict(itertools.islice(lenders.items(), max(0, missing)))
+
+
+def _has_or_awaits_token(node: Node, upstream: str, now: Instant) -> bool:
+    throttle = node.throttles.by_upstream[upstream]
+    return throttle.is_loan_pending(now) or throttle.tokens(now) >= 1
 
 
 def _select_lender(node: Node, upstream: str, now: Instant) -> str | None:
-    throttle = active_throttle(node, upstream)
-    if throttle is None or throttle.is_loan_pending(now):
-        return None
-    if throttle.tokens(now) >= 1:
-        return None
-    holders = share_holders(node, upstream, throttle.calls_per_second or 0)
+    limit = node.throttles.by_upstream[upstream].calls_per_second
     peers = node.members.peers
     connected = [
         name
-        for name in holders
+        for name in share_holders(node, upstream, limit or 0)
         if name != node.members.self_name
         and name in peers
         and peers[name].is_connected
