Forward stated limits in fleets that are not a full mesh

Above 128 instances, only the neighbours of the instance that heard a limit learned of it. Such instances now pass a changed limit on to their own peers. The test of 150 instances failed before (some knew no limit after 0.5 s).

--- a/chervilstep/commands/throttling.py
+++ b/chervilstep/commands/throttling.py
@@ -6,6 +6,7 @@
 from chervilstep.hooks import ATTEMPT_END_HOOKS, ATTEMPT_START_HOOKS, every
 from chervilstep.node import Node
 from chervilstep.queries.health import configured_upstreams
+from chervilstep.queries.overlay import is_full_mesh
 from chervilstep.queries.throttling import (
     active_throttle,
     merge_evidence,
@@ -118,7 +119,8 @@
         return
     _update_share(node, upstream, throttle, now)
     _log_change(node, upstream, merged, previous, now)
-    if merged.source == node.settings.name:
+    # In a full mesh the peer that heard the limit first has told all others.
+    if merged.source == node.settings.name or not is_full_mesh(node.members):
         node.throttles.mark_changed(upstream)
 
 
--- a/chervilstep/queries/overlay.py
+++ b/chervilstep/queries/overlay.py
@@ -20,7 +20,7 @@
     connections of an instance is logarithmic too.
     """
     names = set(members.active) - {members.self_name}
-    if len(names) < FULL_MESH_MAX_INSTANCES:
+    if is_full_mesh(members):
         return frozenset(names)
     ring = sorted({*names, members.self_name}, key=_ring_position)
     own = ring.index(members.self_name)
@@ -34,6 +34,12 @@
     return frozenset(chords - {members.self_name})
 
 
+def is_full_mesh(members: Members) -> bool:
+    """Whether every instance keeps a connection to every other one."""
+    others = members.active.keys() - {members.self_name}
+    return len(others) < FULL_MESH_MAX_INSTANCES
+
+
 def should_dial(self_name: str, peer_name: str) -> bool:
     """Whether this instance dials the peer; otherwise the peer dials."""
     return self_name < peer_name
--- a/tests/test_throttling.py
+++ b/tests/test_throttling.py
@@ -293,6 +293,14 @@
     assert {known_limit(node) for node in fleet.nodes.values()} == {None}
 
 
+def test_limit_and_its_end_reach_instances_without_a_direct_stream():
+    fleet = a_limited_fleet(150, 5)
+    assert {known_limit(node) for node in fleet.nodes.values()} == {5}
+    hear_limit(fleet, fleet.names[3], NO_LIMIT)
+    fleet.run(0.5)
+    assert {known_limit(node) for node in fleet.nodes.values()} == {None}
+
+
 def test_older_report_of_a_peer_does_not_bring_a_limit_back():
     fleet = a_limited_fleet(3, 5)
     fleet.isolate(fleet.names[2])
