Tell a peer of a limit that it has ended too early

Answers overtake each other: an instance that heard an older answer without a limit ended it, and no peer that knew better told it, since a limit that has not changed is not sent again. The receiver of a report now answers with its own statement where that one holds. The test failed before.

--- a/chervilstep/commands/limit_updates.py
+++ b/chervilstep/commands/limit_updates.py
@@ -9,6 +9,7 @@
 from chervilstep.hooks import HANDLERS, MESSAGES, PEER_CONNECT_HOOKS, every
 from chervilstep.messages import EVERY_PEER, Message
 from chervilstep.node import Node
+from chervilstep.queries.throttling import known_limit
 from chervilstep.throttles import LimitEvidence
 from chervilstep.types import MS_PER_SECOND, Instant
 
@@ -70,7 +71,11 @@
 def handle_limit_update(
     node: Node, peer: str, message: Message, now: Instant
 ) -> None:
-    """Records the limits that a peer has heard of."""
+    """Records the limits that a peer has heard of.
+
+    The peer gets those for which this instance knows of a later or, among
+    overlapping answers, a lower statement.
+    """
     assert isinstance(message, LimitUpdate)
     received = {
         upstream: _decode_evidence(entry, peer, now)
@@ -78,6 +83,13 @@
     }
     for upstream, evidence in received.items():
         record_evidence(node, upstream, evidence, now)
+    outdated = [
+        upstream
+        for upstream, evidence in received.items()
+        if known_limit(node, upstream) != evidence.calls_per_second
+    ]
+    if outdated:
+        node.outbox.put(peer, _new_update(node, outdated, now))
 
 
 def _new_update(
--- a/chervilstep/queries/throttling.py
+++ b/chervilstep/queries/throttling.py
@@ -57,6 +57,12 @@
     return max(known, received, key=_strictness)
 
 
+def known_limit(node: Node, upstream: str) -> float | None:
+    """Returns the stated limit of an upstream, or None without one."""
+    throttle = node.throttles.by_upstream.get(upstream)
+    return throttle.calls_per_second if throttle else None
+
+
 def active_throttle(node: Node, upstream: str) -> Throttle | None:
     """Returns the throttle of an upstream, or None without a limit."""
     throttle = node.throttles.by_upstream.get(upstream)
--- a/tests/test_throttling.py
+++ b/tests/test_throttling.py
@@ -20,6 +20,7 @@
 )
 from chervilstep.exceptions import PeerError
 from chervilstep.platform.dialect import PlatformDialect
+from chervilstep.queries import throttling
 from chervilstep.queries.choice import choose_upstream
 from chervilstep.queries.queueing import enqueue_refusal, unservable_waiters
 from chervilstep.queries.retry_after import retry_after_seconds
@@ -100,8 +101,7 @@
 
 
 def known_limit(node, upstream=UPSTREAM):
-    throttle = node.throttles.by_upstream.get(upstream.name)
-    return throttle.calls_per_second if throttle else None
+    return throttling.known_limit(node, upstream.name)
 
 
 def test_limit_ends_with_a_later_answer_without_it():
@@ -312,6 +312,18 @@
     assert {known_limit(node) for node in fleet.nodes.values()} == {None}
 
 
+def test_peer_that_ended_a_limit_too_early_is_told_of_it():
+    """Its answer without the limit overlaps a later one with it."""
+    fleet = a_limited_fleet(3, 5)
+    first, second = fleet.nodes[fleet.names[0]], fleet.nodes[fleet.names[1]]
+    fleet.run(5)
+    state_limit(second, new_stated_limit(5), fleet.now - 0.1, fleet.now)
+    state_limit(first, NO_LIMIT, fleet.now - 1, fleet.now + 0.1)
+    assert known_limit(first) is None
+    fleet.run(0.5)
+    assert known_limit(first) == known_limit(second) == 5
+
+
 @pytest.mark.parametrize('size', [4, 14, 40])
 @pytest.mark.parametrize('limit', [2, 5])
 def test_limit_is_used_wherever_the_calls_arrive(size, limit):
