Bound the exponent of the backoff of closed and ejected upstreams

After about 512 s of failed checks, and after as many ejections, the doubled time left the range of floats: OverflowError ended each further check, so the upstream stayed as it was. A peer could cause it at once with a great number of ejections. Both places now share one bounded computation. Both tests raised OverflowError before.

--- a/chervilstep/commands/health.py
+++ b/chervilstep/commands/health.py
@@ -15,6 +15,7 @@
 )
 from chervilstep.messages import Message
 from chervilstep.node import Node
+from chervilstep.queries.backoff import doubled_seconds
 from chervilstep.queries.coldstart import cold_rate, cold_tokens
 from chervilstep.queries.fleet import reachable_zone_peers
 from chervilstep.queries.hedging import hedge_delay as late_after
@@ -249,8 +250,9 @@
     is_unreachable = ending is Ending.CONNECT_FAILED
     if health.failures < MAX_FAILURES and not is_unreachable:
         return
-    doublings = health.failures - 1
-    seconds = min(MAX_CLOSE_SECONDS, FIRST_CLOSE_SECONDS * 2**doublings)
+    seconds = doubled_seconds(
+        FIRST_CLOSE_SECONDS, health.failures - 1, MAX_CLOSE_SECONDS
+    )
     closed_until = new_deadline(now, seconds)
     health.close(closed_until)
     node.events.add(
--- a/chervilstep/commands/slowstart.py
+++ b/chervilstep/commands/slowstart.py
@@ -7,6 +7,7 @@
 from chervilstep.hooks import ATTEMPT_END_HOOKS, every
 from chervilstep.node import Node
 from chervilstep.queries.assignment import max_in_flight
+from chervilstep.queries.backoff import doubled_seconds
 from chervilstep.queries.outcomes import is_failure, is_good_answer
 from chervilstep.queries.slowstart import (
     is_outlier,
@@ -152,8 +153,8 @@
 def _eject(node: Node, upstream: Upstream, now: Instant) -> None:
     node.loads.upstream_load(upstream.name).reset_counts()
     record = node.slow_start.get_or_create(upstream.name)
-    seconds = min(
-        MAX_EJECTION_SECONDS, BASE_EJECTION_SECONDS * 2**record.ejections
+    seconds = doubled_seconds(
+        BASE_EJECTION_SECONDS, record.ejections, MAX_EJECTION_SECONDS
     )
     record.eject(new_deadline(now, seconds), now)
     node.slow_start.mark_unsent(upstream.name)
--- a/tests/test_slowstart.py
+++ b/tests/test_slowstart.py
@@ -17,6 +17,7 @@
 from chervilstep.slowstart import WARM_SLOTS, SlowStart
 from chervilstep.slowstart_messages import SlowStartQuery, SlowStartUpdate
 from chervilstep.snapshot import ZoneState
+from chervilstep.types import Deadline
 from tests.builders import (
     a_node,
     a_service,
@@ -39,6 +40,8 @@
 )
 
 NO_UPSTREAMS: frozenset[str] = frozenset()
+EXPIRED = Deadline(0)
+FOREVER_VALID = Deadline(float('inf'))
 
 
 def a_warm_fleet(service):
@@ -181,6 +184,19 @@
     assert lengths == pytest.approx([0.25, 0.5, 1, 2, 4, 8, 16, 30, 30])
 
 
+def test_ejection_time_stays_at_its_limit_after_many_ejections():
+    service = a_shared_service()
+    node = a_node_of_fleet(service, names=('entry-1',))
+    make_warm(node, service)
+    upstream = service.upstreams[0]
+    node.slow_start.put(
+        upstream.name, SlowStart(1, 1, EXPIRED, FOREVER_VALID, 5000, 0)
+    )
+    run_attempt(node, upstream, 1, ending=Ending.CONNECT_FAILED)
+    closed = node.slow_start.by_upstream[upstream.name].closed_until
+    assert closed.at == pytest.approx(31, abs=0.1)
+
+
 def test_attempts_from_before_an_ejection_are_ignored():
     service = a_shared_service()
     node = a_warm_fleet(service)[0]
--- a/tests/test_soonest.py
+++ b/tests/test_soonest.py
@@ -7,6 +7,7 @@
 from chervilstep.allowances import PROBES_PER_SECOND
 from chervilstep.calls import Ending, Outcome
 from chervilstep.commands.health import (
+    MAX_CLOSE_SECONDS,
     LoadUpdate,
     handle_load_update,
     record_attempt_health,
@@ -196,6 +197,14 @@
     assert node.health.by_upstream['strike-0'].report.running == 2
 
 
+def test_unreachable_upstream_is_checked_on_after_thousands_of_failures():
+    node = a_node_with_service()
+    for _ in range(5000):
+        record_failed_check(node, the_service(node), 'strike-0', 0)
+    closed_until = node.health.by_upstream['strike-0'].closed_until
+    assert closed_until.at == MAX_CLOSE_SECONDS
+
+
 @pytest.mark.parametrize(
     'entry', [(), (1, 1, 1, 1), (1, 1, 'x', 1.0, 1), (1, 1, 1, None, 1)]
 )
