Dial a peer again after an unexpected error in its messages

An unexpected error in the handler of a message ended the task that dials the peer, which was then never dialled again. It is now logged and ends only the stream. A frame with a list as a key raised TypeError instead of PeerError; it is refused like other malformed frames. Both tests failed before (the peer was not connected again within 20 s).

--- a/chervilstep/adapters/codec.py
+++ b/chervilstep/adapters/codec.py
@@ -45,7 +45,8 @@
     body = await stream.read_bytes(size)
     try:
         frame = msgpack.unpackb(body, use_list=True, strict_map_key=False)
-    except ValueError as fault:
+    except (TypeError, ValueError) as fault:
+        # A key that cannot be hashed raises TypeError.
         raise PeerError(f'frame is not valid msgpack: {fault}') from fault
     if not isinstance(frame, list):
         raise PeerError('frame is not a list')
@@ -78,5 +79,5 @@
         )
     try:
         return message_class(*frame[1:])
-    except (TypeError, ValueError) as fault:
+    except (TypeError, ValueError, OverflowError) as fault:
         raise PeerError(f'{frame[0]} message is invalid: {fault}') from fault
--- a/chervilstep/adapters/peers.py
+++ b/chervilstep/adapters/peers.py
@@ -1,6 +1,7 @@
 """TCP streams that carry typed messages between entry instances."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from typing import Final, final
 
@@ -185,7 +186,14 @@
             stream.close()
             return
         self.disconnect(name)
-        self._add_stream(name, stream)
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._remove_stream, name, stream)
+            await self._handle_until_closed(name, stream)
+
+    async def _handle_until_closed(
+        self, name: str, stream: iostream.IOStream
+    ) -> None:
+        """Handles the messages on a stream; a fault ends only this stream."""
         try:
             await self._handle_messages(name, stream)
         except (iostream.StreamClosedError, TimeoutError):
@@ -193,8 +201,9 @@
         except PeerError as fault:
             self._node.counters.add('peer_faults')
             _log.warning('peer_fault', peer=name, fault=str(fault))
-        finally:
-            self._remove_stream(name, stream)
+        except Exception:
+            self._node.counters.add('peer_faults')
+            _log.exception('peer_message_failed', peer=name)
 
     def _is_duplicate(self, name: str, dialler: str) -> bool:
         current = self._streams.get(name)
@@ -212,6 +221,7 @@
     async def _handle_messages(
         self, name: str, stream: iostream.IOStream
     ) -> None:
+        self._add_stream(name, stream)
         while True:
             async with asyncio.timeout(HEARTBEAT_TIMEOUT_SECONDS):
                 frame = await codec.read_frame(stream)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,12 +1,14 @@
 """Tests of the authenticated streams between instances, over loopback."""
 
 import asyncio
+import socket
 
+import msgpack
 import pytest
 
-from chervilstep.adapters import codec, handshake
+from chervilstep.adapters import codec, handshake, peers
 from chervilstep.adapters.capabilities import load_capabilities
-from chervilstep.adapters.streams import connect
+from chervilstep.adapters.streams import InspectableStream, connect
 from chervilstep.commands.membership import Heartbeat, send_heartbeat
 from chervilstep.exceptions import PeerError
 from chervilstep.messages import EVERY_PEER
@@ -82,6 +84,62 @@
     assert len(frame) == codec.LENGTH_PREFIX_BYTES + 22
 
 
+class FailingHandlers:
+    """Finds a handler that raises an unexpected error."""
+
+    def find(self, kind):
+        return self.fail
+
+    def fail(self, node, peer, message, now):
+        raise ZeroDivisionError
+
+
+def test_unexpected_error_in_a_handler_ends_only_its_stream(monkeypatch):
+    """The peer must be dialled again after it."""
+
+    async def scenario():
+        async with a_peer_fleet('a', 'b') as fleet:
+            counters = fleet.nodes['a'].counters
+            await fleet.wait_until(lambda: fleet.streams['a'].connected_peers)
+            with monkeypatch.context() as patched:
+                patched.setattr(peers, 'HANDLERS', FailingHandlers())
+                send_heartbeat(fleet.nodes['b'], 0)
+                await fleet.wait_until(lambda: counters.total('peer_faults'))
+            before = counters.total('peer_messages_received')
+            await fleet.wait_until(lambda: fleet.streams['a'].connected_peers)
+            send_heartbeat(fleet.nodes['b'], 0)
+            await fleet.wait_until(
+                lambda: counters.total('peer_messages_received') > before
+            )
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'\xc1',
+        b'\x81\x90\x01',
+        b'\x91\xa1\xff',
+        b'\x91' * 5000 + b'\x90',
+        msgpack.packb({1: 2}),
+        b'',
+    ],
+)
+def test_frame_that_is_not_a_msgpack_list_is_a_peer_error(body):
+    async def scenario():
+        ours, theirs = socket.socketpair()
+        stream = InspectableStream(ours)
+        size = len(body).to_bytes(codec.LENGTH_PREFIX_BYTES, 'big')
+        theirs.sendall(size + body)
+        with pytest.raises(PeerError):
+            await codec.read_frame(stream)
+        stream.close()
+        theirs.close()
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize(
     'frame', [[], [1], ['unknown'], ['heartbeat', 1], ['heartbeat', 1, 2, 3, 4]]
 )
