Pause between listings of a store without history

A store that answers a listing with 410 was asked again at once, in a loop. Only a watch that is answered so leads to a listing without a pause now; otherwise it is a failure like others, with backoff. The test counted more than 15 reads in a second before.

--- a/chervilstep/platform/source.py
+++ b/chervilstep/platform/source.py
@@ -77,7 +77,7 @@
             await self._read()
         except StoreError as fault:
             now = time.monotonic()
-            if fault.is_compacted:
+            if fault.is_compacted and self._has_listing:
                 self._has_listing = False
                 self._node.events.add('store_compacted')
                 return True
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -174,3 +174,15 @@
             return store.read_count - before
 
     assert asyncio.run(scenario()) <= 1
+
+
+def test_listings_of_a_store_without_history_are_spaced():
+    """A store that answers every read with 410 must not be asked in a loop."""
+
+    async def scenario():
+        async with a_store() as store, a_node_with_a_source(store):
+            store.inject_fault('unavailable', '410')
+            await asyncio.sleep(1)
+            return store.read_count
+
+    assert asyncio.run(scenario()) < 15
