--- a/chervilstep/adapters/health.py
+++ b/chervilstep/adapters/health.py
@@ -83,14 +83,24 @@
     def _start_due_checks(self) -> None:
         now = self._clock()
         configured = configured_upstreams(self._node)
-        for name in set(self._clients) - configured:
-            self._clients.pop(name).close()
-            self._next_checks.pop(name, None)
+        for name in (*self._check_tasks, *self._clients):
+            if name not in configured:
+                self._forget(name)
         for name, (service, upstream) in upstreams_to_check(self._node).items():
             due = self._next_checks.get(name)
             if due is None or due.has_passed(now):
                 self._start_check(service, upstream)
 
+    def _forget(self, name: str) -> None:
+        """Drops what is kept for an upstream that is no longer configured."""
+        task = self._check_tasks.pop(name, None)
+        if task is not None:
+            task.cancel()
+        client = self._clients.pop(name, None)
+        if client is not None:
+            client.close()
+        self._next_checks.pop(name, None)
+
     def _start_check(
         self, service: Service, upstream: Upstream
     ) -> 'asyncio.Task[None]':
--- a/chervilstep/commands/loads.py
+++ b/chervilstep/commands/loads.py
@@ -3,9 +3,10 @@
 from typing import Final
 
 from chervilstep.calls import Attempt, Ending, Outcome
-from chervilstep.hooks import ATTEMPT_END_HOOKS, ATTEMPT_START_HOOKS
+from chervilstep.hooks import ATTEMPT_END_HOOKS, ATTEMPT_START_HOOKS, every
 from chervilstep.node import Node
 from chervilstep.queries.assignment import own_slots
+from chervilstep.queries.health import configured_upstreams
 from chervilstep.queries.outcomes import is_failure
 from chervilstep.queries.slowstart import is_service_full
 from chervilstep.services import Service
@@ -23,6 +24,13 @@
 LIMIT_DECREASE_FACTOR: Final = 0.9
 #: Requests that are shed within this time cause only one decrease.
 DECREASE_PERIOD_SECONDS: Final = 0.02
+EXPIRY_PERIOD_SECONDS: Final = 5.0
+
+
+@every(EXPIRY_PERIOD_SECONDS, 'load-expiry')
+def remove_old_loads(node: Node, now: Instant) -> None:
+    """Removes the loads of upstreams that are no longer configured."""
+    node.loads.retain(configured_upstreams(node))
 
 
 @ATTEMPT_START_HOOKS.register(LOAD_RANK)
--- /dev/null
+++ b/tests/test_health.py
@@ -0,0 +1,60 @@
+"""Tests of the health checks and of what is kept for each upstream."""
+
+import asyncio
+import time
+
+from chervilstep.adapters.health import new_health_checker
+from chervilstep.commands.loads import remove_old_loads
+from chervilstep.queries.soonest import SOONEST
+from chervilstep.services import Service
+from tests.builders import (
+    a_node,
+    a_settings,
+    a_snapshot,
+    set_instances,
+    some_instances,
+)
+from tests.load_builders import run_attempt
+from tests.wire_builders import a_raw_upstream
+
+
+def a_checking_node(upstreams):
+    """Returns a lone node that checks the upstreams."""
+    node = a_node(a_snapshot_of(upstreams))
+    set_instances(node, some_instances(1))
+    return node
+
+
+def a_snapshot_of(upstreams):
+    service = Service('strike', upstreams, SOONEST, health_path='/health')
+    return a_snapshot(services=[service])
+
+
+def test_removed_upstream_leaves_no_task_or_connection():
+    async def scenario():
+        async with a_raw_upstream() as (server, upstream):
+            node = a_checking_node([upstream])
+            checker = new_health_checker(node, time.monotonic)
+            running = asyncio.create_task(checker.run())
+            async with asyncio.timeout(5):
+                while not server.requests:
+                    await asyncio.sleep(0.01)
+            node.configuration.publish(a_snapshot_of([]))
+            await asyncio.sleep(0.6)
+            kept = (*checker._check_tasks, *checker._clients)
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
+        assert not kept
+
+    asyncio.run(scenario())
+
+
+def test_loads_of_removed_upstreams_are_removed():
+    node = a_node()
+    upstream = node.snapshot.services['strike'].upstreams[0]
+    run_attempt(node, upstream, 0)
+    remove_old_loads(node, 1)
+    assert upstream.name in node.loads.by_upstream
+    node.configuration.publish(a_snapshot_of([]))
+    remove_old_loads(node, 2)
+    assert upstream.name not in node.loads.by_upstream
