Check every number in the messages of peers

Infinite, negative or very great numbers in usage reports, load reports, member records and slow start states raised errors other than PeerError (a division by zero, an overflow), or were stored and entered each later decision.

--- a/chervilstep/commands/gossip.py
+++ b/chervilstep/commands/gossip.py
@@ -245,7 +245,7 @@
 def _decode_record(entry: queries.MemberEntry, now: Instant) -> MemberRecord:
     try:
         return _parse_record(entry, now)
-    except (TypeError, ValueError) as fault:
+    except (TypeError, ValueError, OverflowError) as fault:
         raise PeerError(f'malformed member record: {fault}') from fault
 
 
--- a/chervilstep/commands/health.py
+++ b/chervilstep/commands/health.py
@@ -5,7 +5,7 @@
 
 from chervilstep.calls import Attempt, Ending, Outcome
 from chervilstep.exceptions import PeerError
-from chervilstep.fields import require_table
+from chervilstep.fields import require_range, require_table, require_type
 from chervilstep.hooks import (
     ATTEMPT_END_HOOKS,
     ATTEMPT_START_HOOKS,
@@ -42,6 +42,10 @@
 MAX_FAILURES: Final = 2
 #: Older reports are not sent, since they no longer show the current load.
 MAX_REPORT_AGE_SECONDS: Final = 2.0
+#: The greatest number of requests or slots, slowdown and age that a peer may
+#: report.
+MAX_REPORTED_COUNT: Final = 10**9
+MAX_REPORT_AGE_MS: Final = 10**9
 
 _ENTRY_FIELDS: Final = 5
 #: Running and waiting requests, slots, slowdown and age in milliseconds.
@@ -283,9 +287,11 @@
     if not isinstance(entry, (list, tuple)) or len(entry) != _ENTRY_FIELDS:
         raise PeerError('load report is not a list of five fields')
     *counts, slowdown, age_ms = entry
-    has_valid_types = all(isinstance(count, int) for count in (*counts, age_ms))
-    if not has_valid_types or not isinstance(slowdown, (int, float)):
-        raise PeerError('load report has a field of the wrong type')
-    measured_at = now - int(age_ms) / MS_PER_SECOND
-    running, waiting, slots = counts
+    running, waiting, slots = (
+        require_range(require_type(count, int), MAX_REPORTED_COUNT)
+        for count in counts
+    )
+    require_range(slowdown, MAX_REPORTED_COUNT)
+    require_range(require_type(age_ms, int), MAX_REPORT_AGE_MS)
+    measured_at = now - age_ms / MS_PER_SECOND
     return LoadReport(running, waiting, slots, slowdown, measured_at)
--- a/chervilstep/commands/limit_updates.py
+++ b/chervilstep/commands/limit_updates.py
@@ -5,7 +5,12 @@
 
 from chervilstep.commands.throttling import record_evidence
 from chervilstep.exceptions import PeerError
-from chervilstep.fields import MAX_FIELD_ITEMS, require_table, require_type
+from chervilstep.fields import (
+    MAX_FIELD_ITEMS,
+    require_range,
+    require_table,
+    require_type,
+)
 from chervilstep.hooks import HANDLERS, MESSAGES, PEER_CONNECT_HOOKS, every
 from chervilstep.messages import EVERY_PEER, Message
 from chervilstep.node import Node
@@ -84,9 +89,9 @@
     for upstream, evidence in received.items():
         record_evidence(node, upstream, evidence, now)
     outdated = [
-        upstream
-        for upstream, evidence in received.items()
-        if known_limit(node, upstream) != evidence.calls_per_second
+        name
+        for name in received
+        if known_limit(node, name) != received[name].calls_per_second
     ]
     if outdated:
         node.outbox.put(peer, _new_update(node, outdated, now))
@@ -121,20 +126,12 @@
 ) -> LimitEvidence:
     if not isinstance(entry, (list, tuple)) or len(entry) != _ENTRY_FIELDS:
         raise PeerError('limit is not a list of three fields')
-    limit = None if entry[0] is None else _require_limit(entry[0])
+    limit = None if entry[0] is None else require_range(entry[0], MAX_LIMIT)
     asked_at = _instant(entry[1], now)
     heard_at = _instant(entry[2], now)
     return LimitEvidence(limit, min(asked_at, heard_at), heard_at, peer)
 
 
-def _require_limit(limit: float) -> float:
-    # A comparison with a NaN is false.
-    if not 0 <= require_type(limit, (int, float)) <= MAX_LIMIT:
-        raise PeerError('limit is out of range')
-    return limit
-
-
 def _instant(age_ms: int, now: Instant) -> Instant:
-    if not 0 <= require_type(age_ms, int) <= MAX_AGE_MS:
-        raise PeerError('age of a limit is out of range')
+    require_range(require_type(age_ms, int), MAX_AGE_MS)
     return now - age_ms / MS_PER_SECOND
--- a/chervilstep/commands/rates.py
+++ b/chervilstep/commands/rates.py
@@ -4,7 +4,7 @@
 
 from chervilstep.calls import Call, Ticket
 from chervilstep.exceptions import PeerError
-from chervilstep.fields import require_table, require_type
+from chervilstep.fields import require_range, require_table, require_type
 from chervilstep.hooks import CHARGES, HANDLERS, MESSAGES, REFUSAL_HOOKS, every
 from chervilstep.messages import Message
 from chervilstep.node import Node
@@ -21,6 +21,9 @@
 ZONE_REPORT_PERIOD_SECONDS: Final = 0.5
 #: A demand of fewer calls per second counts as none.
 MIN_REPORTED_DEMAND: Final = 0.05
+#: The most tokens or calls per second that a peer may report, and the most
+#: silent instances.
+MAX_REPORTED_CALLS: Final = 10**9
 
 
 @MESSAGES.register('usage')
@@ -58,7 +61,9 @@
     ) -> None:
         """Creates a report of spent tokens and calls per second by customer."""
         self._zone = require_type(zone, str)
-        self._silent = require_type(silent, int)
+        self._silent = require_range(
+            require_type(silent, int), MAX_REPORTED_CALLS
+        )
         self._customers = require_table(customers)
 
     @property
@@ -207,8 +212,7 @@
     if not isinstance(entry, (list, tuple)) or len(entry) != 2:
         raise PeerError('usage entry is not a pair of tokens and demand')
     tokens, demand = entry
-    if not isinstance(tokens, int) or not isinstance(demand, (int, float)):
-        raise PeerError('usage entry contains a value that is not a number')
-    if tokens < 0 or demand < 0:
-        raise PeerError('usage entry contains a negative number')
-    return tokens, demand
+    return (
+        require_range(require_type(tokens, int), MAX_REPORTED_CALLS),
+        require_range(demand, MAX_REPORTED_CALLS),
+    )
--- a/chervilstep/fields.py
+++ b/chervilstep/fields.py
@@ -6,6 +6,7 @@
 from chervilstep.exceptions import PeerError
 
 Field = TypeVar('Field')
+Number = TypeVar('Number', bound=float)
 #: The second argument of ``isinstance``.
 ExpectedType: TypeAlias = type[object] | tuple[type[object], ...]
 
@@ -37,6 +38,18 @@
     return table
 
 
+def require_range(value: Number, maximum: float) -> Number:
+    """Returns ``value`` if it is a number from zero to ``maximum``.
+
+    Raises:
+        PeerError: The value is no number, or out of the range.
+    """
+    # A comparison with a NaN is false.
+    if not 0 <= require_type(value, (int, float)) <= maximum:
+        raise PeerError('number in a message field is out of range')
+    return value
+
+
 def require_length(items: Sequence[Field]) -> Sequence[Field]:
     """Returns ``items`` if there are at most ``MAX_FIELD_ITEMS``.
 
--- a/chervilstep/slowstart_messages.py
+++ b/chervilstep/slowstart_messages.py
@@ -1,12 +1,14 @@
 """Messages that exchange the slow start states of upstreams."""
 
 from collections.abc import Iterable
-from typing import TypeAlias, final
+from typing import Final, TypeAlias, final
 
-from chervilstep.fields import require_type
+from chervilstep.fields import require_length, require_range, require_type
 from chervilstep.hooks import MESSAGES
 from chervilstep.messages import Message
 
+#: The greatest epoch, number of slots, ejections or seconds of a state.
+MAX_COUNT: Final = 10**9
 #: The arguments of ``SlowStartState`` in the order of its ``__init__``.
 StateValues: TypeAlias = tuple[str, int, int, float, int]
 
@@ -31,12 +33,18 @@
         closed_seconds: float,
         ejections: int,
     ) -> None:
-        """Creates a state that closes the upstream for ``closed_seconds``."""
-        self._upstream = upstream
-        self._epoch = epoch
-        self._open_slots = open_slots
-        self._closed_seconds = closed_seconds
-        self._ejections = ejections
+        """Creates a state that closes the upstream for ``closed_seconds``.
+
+        Raises:
+            PeerError: A value has another type, or is out of range.
+        """
+        self._upstream = require_type(upstream, str)
+        self._epoch = require_range(require_type(epoch, int), MAX_COUNT)
+        self._open_slots = require_range(
+            require_type(open_slots, int), MAX_COUNT
+        )
+        self._closed_seconds = require_range(closed_seconds, MAX_COUNT)
+        self._ejections = require_range(require_type(ejections, int), MAX_COUNT)
 
     @property
     def upstream(self) -> str:
@@ -107,7 +115,9 @@
 
     def __init__(self, entries: Iterable[StateValues]) -> None:
         """Creates an update; each entry has the values of one state."""
-        self._states = tuple(SlowStartState(*entry) for entry in entries)
+        self._states = tuple(
+            SlowStartState(*entry) for entry in require_length(tuple(entries))
+        )
 
     @property
     def entries(self) -> tuple[StateValues, ...]:
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -157,6 +157,9 @@
         ('entry-2', 'akl', 'a', 'b', 1, 9, 0),
         ('entry-2', 'akl', 'a', 'b', 1, 2, 'long'),
         (2, 'akl', 'a', 'b', 1, 0, 0),
+        ('entry-2', 'akl', 'a', 'b', float('inf'), 0, 0),
+        ('entry-2', 'akl', 'a', 'b', float('nan'), 0, 0),
+        ('entry-2', 'akl', 'a', 'b', 1, float('inf'), 0),
     ],
 )
 def test_malformed_entry_is_a_peer_error(entry):
--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -18,6 +18,8 @@
     record_probe_sent,
 )
 from chervilstep.commands.review import review_upstreams
+from chervilstep.exceptions import PeerError
+from chervilstep.probe_messages import ProbeResult
 from chervilstep.queries.probes import probes_due
 from chervilstep.services import Upstream, UpstreamState
 from chervilstep.snapshot import ZoneState
@@ -226,3 +228,12 @@
     assert taken_over
     assert not taken_over & {each.name for each in probes_due(fleet[0], 5.9)}
     assert taken_over <= {each.name for each in probes_due(fleet[0], 6)}
+
+
+@pytest.mark.parametrize(
+    ('upstream', 'in_flight'),
+    [(1, 1), ('strike-1', None), ('strike-1', -1), ('strike-1', 1.5)],
+)
+def test_malformed_result_of_a_peer_raises_peer_error(upstream, in_flight):
+    with pytest.raises(PeerError):
+        ProbeResult(upstream, in_flight)
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -173,7 +173,11 @@
     assert 1 / rate <= retry_after <= 5
 
 
-@pytest.mark.parametrize('entry', [None, (1,), (-1, 0), ('1', 0), (1, 'x')])
+@pytest.mark.parametrize(
+    'entry',
+    [None, (1,), (-1, 0), ('1', 0), (1, 'x'), (1, -1), (True, 1), (10**12, 1)]
+    + [(1, float('inf')), (1, float('nan')), (float('inf'), 1)],
+)
 def test_invalid_usage_entry_raises_peer_error(entry):
     with pytest.raises(PeerError):
         handle_usage(a_node(), 'entry-2', Usage({'fletcher': entry}), 0)
--- a/tests/test_slowstart.py
+++ b/tests/test_slowstart.py
@@ -11,6 +11,7 @@
 )
 from chervilstep.commands.slowstart import eject_overdue
 from chervilstep.commands.slowstart_updates import flush_updates, handle_update
+from chervilstep.exceptions import PeerError
 from chervilstep.queries.assignment import max_in_flight, slot_assignment
 from chervilstep.queries.choice import choose_upstream, has_usable_upstream
 from chervilstep.queries.slowstart import may_send, total_open_slots
@@ -358,3 +359,22 @@
     assert (
         total_open_slots(node, upstreams[1], 2) == WARM_SLOTS
     ) is is_in_service
+
+
+@pytest.mark.parametrize(
+    'entry',
+    [
+        (1, 1, 1, 0, 0),
+        ('strike-1', '1', 1, 0, 0),
+        ('strike-1', 1, None, 0, 0),
+        ('strike-1', 1, 1, float('nan'), 0),
+        ('strike-1', 1, 1, float('inf'), 0),
+        ('strike-1', 1, 1, -1, 0),
+        ('strike-1', 1, 1, 0, 2**62),
+        ('strike-1', 1, 1, 0, 1.5),
+        ('strike-1', True, 1, 0, 0),
+    ],
+)
+def test_malformed_state_of_a_peer_raises_peer_error(entry):
+    with pytest.raises(PeerError):
+        SlowStartUpdate([entry])
--- a/tests/test_soonest.py
+++ b/tests/test_soonest.py
@@ -206,7 +206,10 @@
 
 
 @pytest.mark.parametrize(
-    'entry', [(), (1, 1, 1, 1), (1, 1, 'x', 1.0, 1), (1, 1, 1, None, 1)]
+    'entry',
+    [(), (1, 1, 1, 1), (1, 1, 'x', 1.0, 1), (1, 1, 1, None, 1)]
+    + [(-1, 1, 1, 1.0, 1), (1, 1, 1, 1.0, -1), (10**12, 1, 1, 1.0, 1)]
+    + [(1, 1, 1, float('nan'), 1), (1, 1, 1, float('inf'), 1)],
 )
 def test_malformed_report_raises_peer_error(entry):
     with pytest.raises(PeerError):
