Serve requests that wait in the kernel at a planned stop

Callers lost requests around a planned stop: closing the listening socket reset the connections in its backlog, and closing idle connections reset those whose request had arrived but was not read yet; under load the loop takes tens of milliseconds between the two. The server now accepts the backlog before it stops listening, and a connection with input in the kernel does not count as idle.

--- a/chervilstep/adapters/http1.py
+++ b/chervilstep/adapters/http1.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
@@ -18,7 +19,11 @@
 
 from chervilstep.adapters.framing import Framing, parse_framing, read_body
 from chervilstep.adapters.requests import Request, Response, parse_head
-from chervilstep.adapters.streams import discard_input, ignore_exception
+from chervilstep.adapters.streams import (
+    discard_input,
+    has_pending_input,
+    ignore_exception,
+)
 from chervilstep.exceptions import RequestError
 
 #: The limit on concurrent requests of a connection, where reading pauses.
@@ -109,8 +114,12 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is being read or handled."""
-        return not self._exchanges and not self._is_receiving
+        """Whether no request is handled, being read or waits to be read."""
+        if self._exchanges or self._is_receiving:
+            return False
+        return self._stream.closed() or not has_pending_input(
+            self._stream.socket
+        )
 
     async def run(self) -> None:
         """Reads requests until the connection is closed."""
@@ -320,11 +329,20 @@
         """Starts to close connections after their pending responses."""
         self._is_lame_duck = True
 
+    def stop(self) -> None:
+        """Stops listening after accepting the connections in the backlog.
+
+        The kernel would reset them, and the requests sent on them would be
+        lost.
+        """
+        for listening in self._sockets.values():
+            self._accept_backlog(listening)
+        super().stop()
+
     def close_idle(self) -> None:
         """Closes the connections on which no request is in progress.
 
-        A request that arrives at the same time is not read, so it has not
-        run.
+        A request that arrives later is not read, so it has not run.
         """
         for connection in tuple(self._connections):
             if connection.is_idle:
@@ -338,11 +356,18 @@
     def shut_down_writes(self, stream: iostream.IOStream) -> None:
         """Shuts down the write side of a stream."""
         try:
-            stream.socket.shutdown(_SHUT_WR)
+            stream.socket.shutdown(socket.SHUT_WR)
         except OSError:
             # The caller has already closed the connection.
             stream.close()
 
+    def _accept_backlog(self, listening: socket.socket) -> None:
+        # Ends with BlockingIOError, or another error if stopped before.
+        with contextlib.suppress(OSError):
+            while True:
+                connection, address = listening.accept()
+                self._handle_connection(connection, address)
+
     async def handle_stream(
         self, stream: iostream.IOStream, address: object
     ) -> None:
@@ -369,7 +394,3 @@
 
 async def _refusal_response(error: RequestError) -> Response:
     return Response(error.status, (), f'{error}\n'.encode())
-
-
-#: ``socket.SHUT_WR``.
-_SHUT_WR: Final = 1
--- a/chervilstep/adapters/streams.py
+++ b/chervilstep/adapters/streams.py
@@ -36,13 +36,18 @@
         """
         if self._read_buffer_size or self.closed():
             return True
-        try:
-            self.socket.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
+        return has_pending_input(self.socket)
+
+
+def has_pending_input(connection: socket.socket) -> bool:
+    """Whether the kernel holds bytes, the end of the stream or an error."""
+    try:
+        connection.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
         return True
+    return True
 
 
 async def connect(address: str) -> InspectableStream:
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 import tracemalloc
 
 import pytest
@@ -362,3 +363,55 @@
 
     assert asyncio.run(run())
     assert not handler.requests
+
+
+def a_blocking_client(port, sent=b''):
+    """Connects without giving the loop of the server a chance to run."""
+    client = socket.create_connection(('127.0.0.1', port), timeout=2)
+    if sent:
+        client.sendall(sent)
+    return client
+
+
+async def receive_all(client):
+    """Returns the bytes until the close, or what arrived before a reset."""
+    client.setblocking(False)
+    received = b''
+    loop = asyncio.get_running_loop()
+    with contextlib.suppress(ConnectionError), contextlib.closing(client):
+        async with asyncio.timeout(2):
+            while chunk := await loop.sock_recv(client, 65536):
+                received += chunk
+    return received
+
+
+def test_request_that_was_not_read_yet_is_answered_at_a_stop():
+    """It is in the buffer of the kernel when idle connections are closed."""
+    handler = GatedHandler()
+
+    async def run():
+        async with a_server(handler) as (server, port):
+            client = a_blocking_client(port)
+            while not server.open_connections:
+                await asyncio.sleep(0.01)
+            server.enter_lame_duck()
+            client.sendall(GET % 0)
+            server.close_idle()
+            return await receive_all(client)
+
+    assert asyncio.run(run()).endswith(b'/0')
+
+
+def test_connection_that_was_not_accepted_yet_is_served_at_a_stop():
+    handler = GatedHandler()
+
+    async def run():
+        async with a_server(handler) as (server, port):
+            server.enter_lame_duck()
+            clients = [a_blocking_client(port, GET % 0) for _ in range(20)]
+            server.stop()
+            server.close_idle()
+            return [await receive_all(client) for client in clients]
+
+    answers = asyncio.run(run())
+    assert all(answer.endswith(b'/0') for answer in answers)
