Keep the limits of upstreams from callers

The header went on with the answer, and a caller could take the limit of all instances together for its own. The platform's front end removes it. The test failed before.

--- a/chervilstep/platform/edge.py
+++ b/chervilstep/platform/edge.py
@@ -44,6 +44,9 @@
         dialect.CUSTOMER_HEADER,
     )
 )
+#: Headers of servers that concern only the instances. A limit is that of all
+#: instances together, so a client must not take it for its own.
+_HIDDEN_HEADERS: Final = frozenset((dialect.LIMIT_HEADER.lower(),))
 #: Statuses whose meaning is that the request has not run.
 _NOT_RUN_STATUSES: Final = frozenset((400, 401, 403, 404, 413, 429, 431, 503))
 #: Statuses of refusals of requests that may have run.
@@ -138,9 +141,12 @@
             reply = INTERNAL_ERROR
         self._log_reply(call, reply, started_at)
         if isinstance(reply, Answer):
-            return Response(
-                reply.status, reply.headers, reply.body, reply.reason
+            headers = tuple(
+                (name, text)
+                for name, text in reply.headers
+                if name.lower() not in _HIDDEN_HEADERS
             )
+            return Response(reply.status, headers, reply.body, reply.reason)
         return self._refusal_response(call, reply)
 
     async def resolve(self, request: Request) -> Response:
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -9,7 +9,6 @@
 from chervilstep.services import Service
 from tests.builders import (
     a_node,
-    a_settings,
     a_snapshot,
     set_instances,
     some_instances,
--- a/tests/test_platform_edge.py
+++ b/tests/test_platform_edge.py
@@ -90,6 +90,13 @@
     return int(encoded.split(b' ', 2)[1])
 
 
+def test_limit_of_an_upstream_is_not_forwarded():
+    headers = (('Server-Limit', '5'), ('X-Response-Stamp', 's'))
+    _, encoded = serve_one(Answer(503, 'Busy', headers, b'body'))
+    assert b'X-Response-Stamp: s' in encoded
+    assert b'server-limit' not in encoded.lower()
+
+
 def test_call_has_the_headers_of_the_client():
     call, _ = serve_one(
         X_Request_Id='r1',
