Refuse calls at once that an instance cannot send within the limits

While all upstreams of a service state limits, an instance let as many calls wait as the whole fleet could send in time, and most of them waited until their deadline passed. It now counts on its own part of the limits, or on what its recent grants show that the others leave unused. Retry-After follows the same rate.

--- a/chervilstep/queries/queueing.py
+++ b/chervilstep/queries/queueing.py
@@ -13,7 +13,7 @@
     usable_upstreams,
 )
 from chervilstep.queries.poison import is_quarantined
-from chervilstep.queries.throttling import BURST_SECONDS, accepted_rate
+from chervilstep.queries.throttling import expected_rate
 from chervilstep.queues import (
     GRANT_COSTS,
     PriorityLevel,
@@ -74,7 +74,9 @@
     if is_full(node, queue, progress):
         return QUEUE_FULL
     ahead = _waiters_ahead(queue, ticket.priority)
-    rate = _accepted_rate(node, ticket.route.service, progress.tried_upstreams)
+    rate = rate_within_limits(
+        node, ticket.route.service, progress.tried_upstreams, now
+    )
     if ahead + 1 > max_calls_until_due(node, ticket, rate, now):
         return UPSTREAMS_LIMITED
     wait = expected_wait(queue, progress, now)
@@ -87,18 +89,39 @@
 def max_calls_until_due(
     node: Node, ticket: Ticket, calls_per_second: float, now: Instant
 ) -> float:
-    """Returns how many calls the whole fleet can send until a call is due.
+    """Returns how many calls of a queue can be sent until a call is due.
+
+    The result is at least one, since tokens can be borrowed only for a call
+    that waits.
 
     Args:
         node: The state of this instance.
         ticket: The ticket of the call.
-        calls_per_second: What the upstreams accept; infinite without limits.
+        calls_per_second: What can be sent; infinite without limits.
         now: The current time.
     """
     seconds = ticket.deadline.remaining(now) - mean_latency(
         node, ticket.route.service
     )
-    return calls_per_second * (max(0, seconds) + BURST_SECONDS)
+    return max(1, calls_per_second * max(0, seconds))
+
+
+def rate_within_limits(
+    node: Node, name: str, tried: frozenset[str], now: Instant
+) -> float:
+    """Returns the calls per second of a service that can be sent from here.
+
+    Recent grants show how much of the limits other instances leave unused. The
+    result is infinite unless all upstreams have limits, and zero if no
+    upstream is usable.
+    """
+    service = node.snapshot.services.get(name)
+    usable = usable_upstreams(node, service, tried) if service else ()
+    if not usable:
+        return 0
+    interval = node.queues.queue(name).grant_interval.mean_seconds(now)
+    granted = 1 / interval if interval else 0
+    return max(granted, expected_rate(node, usable))
 
 
 def is_full(node: Node, queue: ServiceQueue, progress: Progress) -> bool:
@@ -229,7 +252,7 @@
         ticket = waiter.progress.ticket
         tried = waiter.progress.tried_upstreams
         if tried not in rates:
-            rates[tried] = _accepted_rate(node, service, tried)
+            rates[tried] = rate_within_limits(node, service, tried, now)
         if waiter.deadline.has_passed(now):
             decisions.append(QueueDecision(waiter, QUEUE_TIMEOUT))
         elif not rates[tried]:
@@ -325,14 +348,6 @@
     return choose_upstream(node, service, progress.tried_upstreams, now)
 
 
-def _accepted_rate(node: Node, name: str, tried: frozenset[str]) -> float:
-    """Returns the calls per second that the usable upstreams accept."""
-    service = node.snapshot.services.get(name)
-    if service is None:
-        return 0
-    return accepted_rate(node, usable_upstreams(node, service, tried))
-
-
 def _urgency(waiter: Waiter) -> tuple[Priority, Instant]:
     return (waiter.priority, waiter.deadline.at)
 
--- a/chervilstep/queries/retry_after.py
+++ b/chervilstep/queries/retry_after.py
@@ -6,10 +6,9 @@
 from chervilstep import refusals
 from chervilstep.calls import Call
 from chervilstep.node import Node
-from chervilstep.queries.choice import usable_upstreams
+from chervilstep.queries.queueing import rate_within_limits
 from chervilstep.queries.rates import fleet_tokens, report_coverage
 from chervilstep.queries.routing import resolve
-from chervilstep.queries.throttling import accepted_rate
 from chervilstep.snapshot import Route
 from chervilstep.types import Instant
 
@@ -46,7 +45,7 @@
     if refusal is refusals.RATE_EXCEEDED:
         return _seconds_until_token(node, call, now)
     if refusal is refusals.UPSTREAMS_LIMITED:
-        return _seconds_within_limits(node, call)
+        return _seconds_within_limits(node, call, now)
     seconds = RETRY_SECONDS.get(refusal)
     if not seconds:
         return seconds
@@ -68,23 +67,15 @@
     )
 
 
-def _seconds_within_limits(node: Node, call: Call) -> float:
-    """Returns when the upstreams of a call have accepted those that wait."""
+def _seconds_within_limits(node: Node, call: Call, now: Instant) -> float:
+    """Returns when the calls that wait here have probably been sent."""
     route = resolve(node.snapshot, call.method, call.path, call.host)
     seconds = MIN_LIMITED_RETRY_SECONDS
     if isinstance(route, Route):
-        seconds = max(seconds, _seconds_for_waiters(node, route.service))
+        queue = node.queues.queue(route.service)
+        rate = rate_within_limits(node, route.service, frozenset(), now)
+        seconds = max(seconds, (len(queue) + 1) / rate if rate else 0)
     return min(
         MAX_LIMITED_RETRY_SECONDS,
         seconds * node.rng.uniform(1, MAX_JITTER_FACTOR),
     )
-
-
-def _seconds_for_waiters(node: Node, name: str) -> float:
-    service = node.snapshot.services.get(name)
-    queue = node.queues.by_service.get(name)
-    if service is None or not service.upstreams:
-        return 0
-    waiting = len(queue) if queue is not None else 0
-    rate = accepted_rate(node, usable_upstreams(node, service, frozenset()))
-    return (waiting + 1) / rate if rate else 0
--- a/chervilstep/queries/throttling.py
+++ b/chervilstep/queries/throttling.py
@@ -88,18 +88,22 @@
     )
 
 
-def accepted_rate(node: Node, upstreams: Iterable[Upstream]) -> float:
-    """Returns the calls per second that the upstreams accept from the fleet.
+def expected_rate(node: Node, upstreams: Iterable[Upstream]) -> float:
+    """Returns the calls per second that this instance can expect to send.
 
+    That is its part of what the upstreams accept while calls wait everywhere.
     The result is infinite if any of the upstreams has no limit.
     """
-    total = float(0)
+    own = float(0)
+    fleet = float(0)
     for upstream in upstreams:
         throttle = active_throttle(node, upstream.name)
         if throttle is None:
             return math.inf
-        total += max(MIN_CALLS_PER_SECOND, throttle.calls_per_second or 0)
-    return total
+        own += throttle.share.calls_per_second
+        fleet += max(MIN_CALLS_PER_SECOND, throttle.calls_per_second or 0)
+    instances = max(1, len(node.throttles.sharing_instances))
+    return max(own, fleet / instances)
 
 
 def sharing_instances(node: Node) -> frozenset[str]:
--- a/tests/test_throttling.py
+++ b/tests/test_throttling.py
@@ -12,7 +12,7 @@
     handle_loan,
 )
 from chervilstep.commands.limit_updates import LimitUpdate, handle_limit_update
-from chervilstep.commands.queueing import enqueue, remove
+from chervilstep.commands.queueing import enqueue, grant, remove
 from chervilstep.commands.throttling import (
     record_answered_limit,
     record_checked_limit,
@@ -389,10 +389,11 @@
     return [decision.result for decision in decisions]
 
 
-def test_calls_that_no_limit_allows_in_time_are_refused_at_once():
-    """Three upstreams accept 1.5 calls a second: four in 2 s and a burst."""
-    node = a_fully_limited_node(0.5)
-    for expected in [None] * 4 + [UPSTREAMS_LIMITED]:
+@pytest.mark.parametrize(('size', 'served'), [(1, 3), (14, 1)])
+def test_calls_that_no_limit_allows_in_time_are_refused_at_once(size, served):
+    """Three upstreams accept 1.5 calls a second from all instances."""
+    node = a_fully_limited_node(0.5, size)
+    for expected in [None] * served + [UPSTREAMS_LIMITED]:
         progress = a_progress(a_timed_ticket(seconds=2))
         assert enqueue_refusal(node, progress, 0) is expected
         wait_in_queue(node, 0)
@@ -400,14 +401,25 @@
 
 
 def test_waiting_calls_of_a_lower_priority_are_refused_first():
-    node = a_fully_limited_node(0.5)
+    node = a_fully_limited_node(0.5, size=1)
     bulk = wait_in_queue(node, 0, priority=Priority.BULK)
-    for _ in range(4):
+    for _ in range(3):
         wait_in_queue(node, 0, priority=Priority.URGENT)
     (decision,) = unservable_waiters(node, 'strike', 0)
     assert decision.waiter is bulk
 
 
+def test_more_calls_wait_where_other_instances_leave_limits_unused():
+    """Ten grants a second show that tokens can be borrowed."""
+    node = a_fully_limited_node(0.5)
+    for step in range(11):
+        waiter = wait_in_queue(node, step / 10)
+        grant(node, waiter, (step + 1) / 10)
+    for _ in range(9):
+        wait_in_queue(node, 1.1, seconds=1)
+    assert not refusals_of_waiters(node, 1.1)
+
+
 def test_one_upstream_without_a_limit_keeps_calls_waiting():
     node = a_fully_limited_node(0.5)
     last = node.snapshot.services['strike'].upstreams[-1]
@@ -427,7 +439,7 @@
     ],
 )
 def test_refused_callers_return_when_there_is_room(limit, waiting, seconds):
-    node = a_fully_limited_node(limit)
+    node = a_fully_limited_node(limit, size=1)
     for _ in range(waiting):
         wait_in_queue(node, 0)
     retry_after = retry_after_seconds(node, a_call(), UPSTREAMS_LIMITED, 0)
