Let native upstreams state limits, and soak with upstreams that do

The product's own dialect knew no limits, so the soak could not play them. Its header is X-Call-Limit, read like the platform's and kept from callers. The stand-in for upstreams states limits of 0 to 5 requests a second as a fault of the soak, counts requests above the agreed excess, and the soak reports them.

--- a/chervilstep/adapters/dialect.py
+++ b/chervilstep/adapters/dialect.py
@@ -8,7 +8,9 @@
 from chervilstep.queries.headers import (
     ATTEMPT_HEADER,
     DEADLINE_HEADER,
+    LIMIT_HEADER,
     NOT_RUN_HEADER,
+    parse_limit,
 )
 from chervilstep.registry import Registry, new_registry
 from chervilstep.reports import LoadReport, StatedLimit
@@ -50,11 +52,8 @@
     ) -> LoadReport | None:
         """Returns the load report in the headers, or None."""
 
-    def stated_limit(self, headers: HeaderMap) -> StatedLimit | None:
-        """Returns what the headers say about the request rate accepted.
-
-        Returns None if upstreams of this kind state no limits.
-        """
+    def stated_limit(self, headers: HeaderMap) -> StatedLimit:
+        """Returns what the headers say about the request rate accepted."""
 
     def cold_seconds(self, headers: HeaderMap) -> float | None:
         """Returns the remaining cold time in a health answer, or None."""
@@ -110,8 +109,9 @@
     ) -> LoadReport | None:
         """Returns None: native upstreams report their load to probes."""
 
-    def stated_limit(self, headers: HeaderMap) -> StatedLimit | None:
-        """Returns None: native upstreams state no limits."""
+    def stated_limit(self, headers: HeaderMap) -> StatedLimit:
+        """Returns the limit in ``LIMIT_HEADER``, or ``NO_LIMIT`` without it."""
+        return parse_limit(headers.get(LIMIT_HEADER))
 
     def cold_seconds(self, headers: HeaderMap) -> float | None:
         """Returns None: native upstreams do not report a cold time."""
--- a/chervilstep/adapters/health.py
+++ b/chervilstep/adapters/health.py
@@ -155,10 +155,7 @@
             now,
         )
         limit = self._dialect.stated_limit(fetched.headers)
-        if limit is not None:
-            record_checked_limit(
-                self._node, upstream.name, limit, asked_at, now
-            )
+        record_checked_limit(self._node, upstream.name, limit, asked_at, now)
 
 
 def new_health_checker(
--- a/chervilstep/platform/dialect.py
+++ b/chervilstep/platform/dialect.py
@@ -6,14 +6,8 @@
 from chervilstep.adapters.answers import AnswerReader
 from chervilstep.adapters.dialect import DIALECTS, HeaderMap
 from chervilstep.calls import Answer, Attempt, Ending, Headers
-from chervilstep.queries.headers import parse_milliseconds
-from chervilstep.reports import (
-    NO_LIMIT,
-    LoadReport,
-    StatedLimit,
-    new_stated_limit,
-    new_unreadable_limit,
-)
+from chervilstep.queries.headers import parse_limit, parse_milliseconds
+from chervilstep.reports import LoadReport, StatedLimit
 from chervilstep.types import MS_PER_SECOND, Instant
 
 PLATFORM_DIALECT: Final = 'platform'
@@ -96,12 +90,7 @@
 
     def stated_limit(self, headers: HeaderMap) -> StatedLimit:
         """Returns the limit in ``LIMIT_HEADER``, or ``NO_LIMIT`` without it."""
-        text = headers.get(LIMIT_HEADER)
-        if text is None:
-            return NO_LIMIT
-        if _LIMIT_PATTERN.fullmatch(text) is None:
-            return new_unreadable_limit(text)
-        return new_stated_limit(float(text))
+        return parse_limit(headers.get(LIMIT_HEADER))
 
     def cold_seconds(self, headers: HeaderMap) -> float | None:
         """Returns the remaining cold time in a health answer, or None."""
@@ -116,6 +105,5 @@
 _LOAD_PATTERN: Final = re.compile(
     r'(\d{1,6}),(\d{1,6}),(\d{1,6})(?:,(?P<speed>\d{1,6}(?:\.\d+)?))?'
 )
-_LIMIT_PATTERN: Final = re.compile(r'\d{1,9}(?:\.\d{1,9})?', re.ASCII)
 #: Lower slowdowns in reports are raised to this value.
 _MIN_SLOWDOWN: Final = 0.1
--- a/chervilstep/queries/headers.py
+++ b/chervilstep/queries/headers.py
@@ -7,6 +7,12 @@
 from urllib.parse import parse_qsl
 
 from chervilstep.calls import Headers
+from chervilstep.reports import (
+    NO_LIMIT,
+    StatedLimit,
+    new_stated_limit,
+    new_unreadable_limit,
+)
 
 #: Carries the key as ``Bearer KEY``.
 KEY_HEADER: Final = 'authorization'
@@ -20,11 +26,15 @@
 REASON_HEADER: Final = 'Chervilstep-Reason'
 #: Set by an upstream that did not run the request.
 NOT_RUN_HEADER: Final = 'X-Not-Run'
+#: Set by an upstream in need: the requests per second that it accepts from all
+#: instances together.
+LIMIT_HEADER: Final = 'X-Call-Limit'
 
 #: Longer times are not told apart; this is about eleven days.
 MAX_MILLISECONDS: Final = 10**9
 #: Python refuses to convert numbers of thousands of digits.
 _MILLISECONDS_PATTERN: Final = re.compile('[0-9]{1,20}')
+_LIMIT_PATTERN: Final = re.compile(r'[0-9]{1,9}(?:\.[0-9]{1,9})?')
 _BEARER_PREFIX: Final = 'bearer '
 
 #: Hop-by-hop headers (RFC 9110, section 7.6.1), and headers that the HTTP
@@ -49,7 +59,10 @@
     DEADLINE_HEADER.lower(),
     ATTEMPT_HEADER.lower(),
 }
-_REMOVED_FROM_ANSWERS: Final = _HOP_BY_HOP | {NOT_RUN_HEADER.lower()}
+_REMOVED_FROM_ANSWERS: Final = _HOP_BY_HOP | {
+    NOT_RUN_HEADER.lower(),
+    LIMIT_HEADER.lower(),
+}
 _KEY_PARAMETERS: Final = frozenset(
     ('access_token', 'api_key', 'apikey', 'authorization', 'key', 'token')
 )
@@ -98,6 +111,19 @@
     return min(int(text), MAX_MILLISECONDS)
 
 
+def parse_limit(text: str | None) -> StatedLimit:
+    """Returns what a header value says about the limit of an upstream.
+
+    The value is a decimal number of requests per second. Without the header
+    there is no limit.
+    """
+    if text is None:
+        return NO_LIMIT
+    if _LIMIT_PATTERN.fullmatch(text) is None:
+        return new_unreadable_limit(text)
+    return new_stated_limit(float(text))
+
+
 def _remove_headers(
     headers: Iterable[tuple[str, str]], removed: frozenset[str]
 ) -> Headers:
--- a/lab/commands/faults.py
+++ b/lab/commands/faults.py
@@ -65,12 +65,18 @@
     server.set_crash_marker(argument)
 
 
+@FAULTS.register('limit')
+def state_limit(server: Server, argument: str, now: Instant) -> None:
+    """States the argument as the limit in answers; without one, none."""
+    server.set_call_limit(float(argument) if argument else None)
+
+
 @FAULTS.register('recover')
 def recover(server: Server, argument: str, now: Instant) -> None:
     """Clears slowdown, draining, fast failures and the crash marker.
 
     Crashes and cold starts end after their time, and silenced connections
-    stay silent.
+    stay silent. A stated limit stays too.
     """
     server.set_slowdown(1)
     server.set_draining(is_draining=False)
--- a/lab/commands/soak_faults.py
+++ b/lab/commands/soak_faults.py
@@ -22,6 +22,10 @@
 
 MIN_FAULT_SECONDS: Final = 0.2
 MAX_FAULT_SECONDS: Final = 4.0
+#: The limits that upstreams state, in requests per second, and for how long at
+#: least.
+LIMITS: Final = (0, 0.5, 2, 5)
+LIMIT_SECONDS: Final = 5.0
 
 
 @SOAK_FAULTS.register('store-link')
@@ -81,6 +85,20 @@
     await testbed.deployment.inject_fault((name,), 'recover')
 
 
+@SOAK_FAULTS.register('limit')
+async def state_limit(
+    testbed: Testbed, rng: random.Random, max_seconds: float
+) -> None:
+    """Makes one upstream state a limit, for longer than other faults last."""
+    name = rng.choice(sorted(testbed.upstream_links))
+    limit = rng.choice(LIMITS)
+    testbed.log_event(f'{name} states a limit of {limit}')
+    await testbed.deployment.inject_fault((name,), 'limit', str(limit))
+    await asyncio.sleep(rng.uniform(1, 2) * LIMIT_SECONDS)
+    await testbed.deployment.inject_fault((name,), 'limit')
+    testbed.log_event(f'{name} states no limit')
+
+
 @SOAK_FAULTS.register('pause')
 async def pause_entry(
     testbed: Testbed, rng: random.Random, max_seconds: float
--- a/lab/exchange.py
+++ b/lab/exchange.py
@@ -20,6 +20,10 @@
 class ExchangeHandler(Protocol):
     """Serves the exchanges of a connection."""
 
+    @property
+    def call_limit(self) -> float | None:
+        """The requests per second to state in answers, or None."""
+
     def handle_request(self, exchange: 'Exchange') -> None:
         """Handles a request that was read completely."""
 
@@ -164,6 +168,8 @@
             headers[names.REQUEST_ID] = self.request_id
         for name in flag_headers:
             headers[name] = '1'
+        if self._handler.call_limit is not None:
+            headers[names.LIMIT] = str(self._handler.call_limit)
         start_line = httputil.ResponseStartLine(
             'HTTP/1.1', status, _REASON_PHRASES[status]
         )
--- a/lab/headers.py
+++ b/lab/headers.py
@@ -4,6 +4,8 @@
 
 REQUEST_ID: Final = 'X-Request-Id'
 NOT_RUN: Final = 'X-Not-Run'
+#: The requests per second that an upstream accepts from all instances.
+LIMIT: Final = 'X-Call-Limit'
 DEADLINE: Final = 'Chervilstep-Deadline-Ms'
 VERDICT: Final = 'Chervilstep-Verdict'
 REASON: Final = 'Chervilstep-Reason'
--- a/lab/servers.py
+++ b/lab/servers.py
@@ -1,10 +1,17 @@
 """The state of one upstream stand-in."""
 
 import collections
-from typing import final
+from typing import Final, final
 
 from chervilstep.types import Instant
 
+#: The agreed bound on a stated limit: the factor on the calls of a window, the
+#: window, the further calls, and the time until all instances keep to it.
+LIMIT_FACTOR: Final = 1.5
+LIMIT_WINDOW_SECONDS: Final = 4.0
+LIMIT_SLACK: Final = 5
+LIMIT_SPREAD_SECONDS: Final = 3.0
+
 
 @final
 class Traits:
@@ -89,12 +96,15 @@
     """The mutable state and the counters of an upstream stand-in."""
 
     __slots__ = (
+        '_arrivals',
+        '_call_limit',
         '_counts',
         '_crash_marker',
         '_down_until',
         '_in_flight',
         '_is_draining',
         '_is_failing',
+        '_limit_holds_from',
         '_report_valid_until',
         '_reported_in_flight',
         '_runs',
@@ -117,6 +127,9 @@
         self._down_until = float('-inf')
         self._slowdown = float(1)
         self._crash_marker = ''
+        self._call_limit: float | None = None
+        self._limit_holds_from = float('inf')
+        self._arrivals: collections.deque[Instant] = collections.deque()
         self._is_draining = False
         self._is_failing = False
 
@@ -185,6 +198,32 @@
         """Whether every request is answered at once with status 500."""
         return self._is_failing
 
+    @property
+    def call_limit(self) -> float | None:
+        """The requests per second that answers state, or None."""
+        return self._call_limit
+
+    def set_call_limit(self, limit: float | None) -> None:
+        """Starts or stops to state a limit in answers."""
+        self._call_limit = limit
+        self._limit_holds_from = float('inf')
+        self._arrivals.clear()
+
+    def record_arrival(self, now: Instant) -> None:
+        """Counts a request that exceeds the agreed excess over the limit."""
+        if self._call_limit is None:
+            return
+        if self._limit_holds_from == float('inf'):
+            self._limit_holds_from = now + LIMIT_SPREAD_SECONDS
+        if now < self._limit_holds_from:
+            return
+        self._arrivals.append(now)
+        while self._arrivals[0] <= now - LIMIT_WINDOW_SECONDS:
+            self._arrivals.popleft()
+        allowed = LIMIT_FACTOR * LIMIT_WINDOW_SECONDS * self._call_limit
+        if len(self._arrivals) > allowed + LIMIT_SLACK:
+            self.count('over_limit')
+
     def count(self, event: str) -> None:
         """Counts an event."""
         self._counts[event] += 1
--- a/lab/soak.py
+++ b/lab/soak.py
@@ -231,6 +231,10 @@
                 *testbed.unexpected_exits(),
             ]
             counts = await deployment.upstream_counts()
+            if counts.total('over_limit'):
+                findings.append(
+                    f'{counts.total("over_limit")} requests over stated limits'
+                )
             runs = await deployment.runs()
     checks = check_outcomes(soak.records, runs, counts.total('keys_seen'))
     endings = count_outcomes(soak.records)
--- a/lab/upstream.py
+++ b/lab/upstream.py
@@ -57,6 +57,11 @@
         """The port, which stays the same after a crash."""
         return self._port
 
+    @property
+    def call_limit(self) -> float | None:
+        """The requests per second that answers state, or None."""
+        return self._server.call_limit
+
     def listen(self) -> None:
         """Opens the port, at start-up and after each crash."""
         self._listener = _Listener(self)
@@ -138,6 +143,7 @@
 
     def _admit(self, exchange: Exchange, now: Instant) -> None:
         server = self._server
+        server.record_arrival(now)
         if exchange.carries_key:
             server.count('keys_seen')
         if server.crash_marker and server.crash_marker in exchange.target:
--- a/tests/test_throttling.py
+++ b/tests/test_throttling.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from chervilstep.adapters.dialect import NativeDialect
 from chervilstep.calls import Ending, Outcome
 from chervilstep.commands.limit_loans import (
     Loan,
@@ -64,11 +65,15 @@
 STEP_SECONDS = 0.02
 
 
+@pytest.mark.parametrize(
+    ('dialect', 'header'),
+    [(PlatformDialect(), 'Server-Limit'), (NativeDialect(), 'X-Call-Limit')],
+)
 @pytest.mark.parametrize(
     ('text', 'limit'), [('5', 5), ('0', 0), ('4.75', 4.75), ('0.05', 0.05)]
 )
-def test_limit_is_read_from_the_header(text, limit):
-    stated = PlatformDialect().stated_limit({'Server-Limit': text})
+def test_limit_is_read_from_the_header(dialect, header, text, limit):
+    stated = dialect.stated_limit({header: text})
     assert stated.calls_per_second == limit
     assert stated.unreadable_text is None
 
