Start background tasks again after an unexpected error, and explain limits

An unexpected error in the task that follows the store, checks upstreams or dials peers ended it without a line; the instance served on without it. Such a task is now logged, counted and started again after half a second.

explain names the limit of each upstream of the service, its age and source, and the part of this instance.

--- a/chervilstep/adapters/instance.py
+++ b/chervilstep/adapters/instance.py
@@ -16,7 +16,7 @@
 from chervilstep.adapters.health import new_health_checker
 from chervilstep.adapters.peers import PeerStreams, new_peer_streams
 from chervilstep.adapters.pool import HttpPool, new_pool
-from chervilstep.adapters.runners import new_runners
+from chervilstep.adapters.runners import keep_running, new_runners
 from chervilstep.adapters.streams import split_address
 from chervilstep.adapters.ticker import new_ticker
 from chervilstep.commands.gossip import join
@@ -124,7 +124,7 @@
         self._event_log.start()
         runners = new_runners(self._node, self._clock)
         self._tasks.extend(
-            loop.create_task(runner.run())
+            loop.create_task(keep_running(runner, self._node))
             for runner in (*runners, self._health_checker, self._peers)
         )
 
--- a/chervilstep/queries/explaining.py
+++ b/chervilstep/queries/explaining.py
@@ -8,6 +8,7 @@
 from chervilstep.queries.admission import effective_deadline
 from chervilstep.queries.choice import choose_upstream
 from chervilstep.queries.routing import resolve
+from chervilstep.queries.throttling import describe_limits
 from chervilstep.refusals import (
     FORBIDDEN_ROUTE,
     MISSING_KEY,
@@ -64,6 +65,7 @@
         if refusal is not None:
             return Explanation(tuple(steps), _describe_refusal(refusal))
         steps.append(f'check {check.__name__} lets it pass')
+    steps.extend(_describe_limits(node, route, now))
     return Explanation(tuple(steps), _describe_destination(node, route, now))
 
 
@@ -88,6 +90,17 @@
     return Call(method, path, (), b'', key_digest=digest, deadline=None)
 
 
+def _describe_limits(node: Node, route: Route, now: Instant) -> list[str]:
+    service = node.snapshot.services.get(route.service)
+    limits = describe_limits(node, service.upstreams if service else (), now)
+    return [
+        f'{name} accepts {entry["limit"]} requests/s from all instances, as'
+        f' {entry["source"]} heard {entry["age"]} s ago; the part of this'
+        f' instance is {entry["share"]}, tokens left: {entry["tokens"]}'
+        for name, entry in limits.items()
+    ]
+
+
 def _describe_destination(node: Node, route: Route, now: Instant) -> str:
     service = node.snapshot.services.get(route.service)
     if service is None:
--- a/tests/test_throttling.py
+++ b/tests/test_throttling.py
@@ -23,6 +23,7 @@
 from chervilstep.platform.dialect import PlatformDialect
 from chervilstep.queries import throttling
 from chervilstep.queries.choice import choose_upstream
+from chervilstep.queries.explaining import explain
 from chervilstep.queries.queueing import enqueue_refusal, unservable_waiters
 from chervilstep.queries.retry_after import retry_after_seconds
 from chervilstep.queries.throttling import may_send_within_limit, wanted_loans
@@ -478,6 +479,13 @@
     assert not node.throttles.by_upstream[UPSTREAM.name].has_loan(0.1)
 
 
+def test_explanation_names_the_limits():
+    node = a_fully_limited_node(0.5)
+    explanation = explain(node, 'GET', '/strike/1', 'fletcher', 1)
+    assert 'accepts 0.5 requests/s' in explanation.steps[-1]
+    assert 'entry-1 heard 1 s ago' in explanation.steps[-1].replace('1.0', '1')
+
+
 def test_limited_upstream_without_a_token_is_not_chosen():
     node = a_node()
     service = node.snapshot.services['strike']
