Serve the backlog of the native interface at a planned stop too

Its listening socket was closed with connections in the backlog, like that of the platform's front end. Both servers now share the stop, and the drain lets the loop read what was just accepted. The test failed before (20 requests without an answer).

--- a/chervilstep/adapters/http1.py
+++ b/chervilstep/adapters/http1.py
@@ -15,8 +15,9 @@
 from typing import Final, Protocol, TypeAlias, final
 
 import structlog
-from tornado import httputil, iostream, tcpserver
+from tornado import httputil, iostream
 
+from chervilstep.adapters.backlog import BacklogServer
 from chervilstep.adapters.framing import Framing, parse_framing, read_body
 from chervilstep.adapters.requests import Request, Response, parse_head
 from chervilstep.adapters.streams import (
@@ -276,7 +277,7 @@
 
 
 @final
-class PipelineServer(tcpserver.TCPServer):
+class PipelineServer(BacklogServer):
     """Accepts connections and passes their requests to a handler."""
 
     # The base class has a __dict__; the slots declare the attributes.
@@ -329,16 +330,6 @@
         """Starts to close connections after their pending responses."""
         self._is_lame_duck = True
 
-    def stop(self) -> None:
-        """Stops listening after accepting the connections in the backlog.
-
-        The kernel would reset them, and the requests sent on them would be
-        lost.
-        """
-        for listening in self._sockets.values():
-            self._accept_backlog(listening)
-        super().stop()
-
     def close_idle(self) -> None:
         """Closes the connections on which no request is in progress.
 
@@ -361,13 +352,6 @@
             # The caller has already closed the connection.
             stream.close()
 
-    def _accept_backlog(self, listening: socket.socket) -> None:
-        # Ends with BlockingIOError, or another error if stopped before.
-        with contextlib.suppress(OSError):
-            while True:
-                connection, address = listening.accept()
-                self._handle_connection(connection, address)
-
     async def handle_stream(
         self, stream: iostream.IOStream, address: object
     ) -> None:
--- a/chervilstep/adapters/instance.py
+++ b/chervilstep/adapters/instance.py
@@ -145,6 +145,8 @@
             await asyncio.sleep(STOP_POLL_PERIOD_SECONDS)
 
     async def _drain(self, deadline: Deadline) -> None:
+        # Connections that were just accepted have not been read yet.
+        await asyncio.sleep(STOP_POLL_PERIOD_SECONDS)
         self._edge.close_idle()
         while self._edge.in_flight:
             if deadline.has_passed(self._clock()):
--- a/chervilstep/adapters/native.py
+++ b/chervilstep/adapters/native.py
@@ -6,6 +6,7 @@
 from tornado import httpserver
 
 from chervilstep.adapters.admin import new_admin
+from chervilstep.adapters.backlog import BacklogServer
 from chervilstep.adapters.edge import EDGES, NATIVE, CallHandler
 from chervilstep.adapters.entry import EntryFrontEnd, new_entry_front_end
 from chervilstep.adapters.streams import split_address
@@ -21,6 +22,14 @@
 HEADER_READ_FACTOR: Final = 4
 
 
+@final
+class EntryServer(BacklogServer, httpserver.HTTPServer):
+    """The HTTP server of the native interface."""
+
+    # The base class has a __dict__, and this class adds no attributes.
+    __slots__ = ()
+
+
 @final
 @EDGES.register(NATIVE)
 class NativeEdge:
@@ -37,7 +46,7 @@
         self._front_end: EntryFrontEnd = new_entry_front_end(
             node, handle, clock
         )
-        self._server = httpserver.HTTPServer(
+        self._server = EntryServer(
             self._front_end,
             idle_connection_timeout=IDLE_TIMEOUT_SECONDS,
             body_timeout=BODY_TIMEOUT_SECONDS,
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -8,7 +8,13 @@
 from chervilstep.calls import Answer
 from chervilstep.refusals import RATE_EXCEEDED
 from tests import builders
-from tests.wire_builders import an_entry_server, an_instance, send_and_read_all
+from tests.wire_builders import (
+    a_blocking_client,
+    an_entry_server,
+    an_instance,
+    receive_all,
+    send_and_read_all,
+)
 
 CLOSE = b'Connection: close\r\n\r\n'
 
@@ -156,3 +162,16 @@
 
     asyncio.run(scenario())
     assert cancelled == started
+
+
+def test_request_in_the_backlog_is_answered_after_the_server_stops():
+    recorder = RecordingHandler(Answer(200, 'OK', (), b'body'))
+
+    async def scenario():
+        async with an_entry_server(recorder) as port:
+            request = b'GET /strike/1 HTTP/1.1\r\nHost: x\r\n' + CLOSE
+            clients = [a_blocking_client(port, request) for _ in range(20)]
+        return [await receive_all(client) for client in clients]
+
+    answers = asyncio.run(scenario())
+    assert all(answer.endswith(b'body') for answer in answers)
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import socket
 import tracemalloc
 
 import pytest
@@ -10,7 +9,12 @@
 from chervilstep.adapters.http1 import PipelineServer
 from chervilstep.adapters.requests import Response
 from chervilstep.catalog import ClientLimits
-from tests.wire_builders import a_raw_client, split_responses
+from tests.wire_builders import (
+    a_blocking_client,
+    a_raw_client,
+    receive_all,
+    split_responses,
+)
 
 LIMITS = ClientLimits(2048, 4096, 3, 0.3)
 GET = b'GET /%d HTTP/1.1\r\nHost: a\r\n\r\n'
@@ -365,26 +369,6 @@
     assert not handler.requests
 
 
-def a_blocking_client(port, sent=b''):
-    """Connects without giving the loop of the server a chance to run."""
-    client = socket.create_connection(('127.0.0.1', port), timeout=2)
-    if sent:
-        client.sendall(sent)
-    return client
-
-
-async def receive_all(client):
-    """Returns the bytes until the close, or what arrived before a reset."""
-    client.setblocking(False)
-    received = b''
-    loop = asyncio.get_running_loop()
-    with contextlib.suppress(ConnectionError), contextlib.closing(client):
-        async with asyncio.timeout(2):
-            while chunk := await loop.sock_recv(client, 65536):
-                received += chunk
-    return received
-
-
 def test_request_that_was_not_read_yet_is_answered_at_a_stop():
     """It is in the buffer of the kernel when idle connections are closed."""
     handler = GatedHandler()
--- a/tests/wire_builders.py
+++ b/tests/wire_builders.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import contextlib
+import socket
 import time
 
-from tornado import httpserver, netutil
+from tornado import netutil
 
 from chervilstep.adapters.dialect import NATIVE
 from chervilstep.adapters.entry import new_entry_front_end
+from chervilstep.adapters.native import EntryServer
 from chervilstep.adapters.peers import new_peer_streams
 from chervilstep.adapters.pool import new_pool
 from chervilstep.calls import Attempt, Call
@@ -188,9 +190,9 @@
 
 def a_closed_port():
     """Returns a port on which nothing listens."""
-    (socket,) = netutil.bind_sockets(0, '127.0.0.1')
-    port = socket.getsockname()[1]
-    socket.close()
+    (listening,) = netutil.bind_sockets(0, '127.0.0.1')
+    port = listening.getsockname()[1]
+    listening.close()
     return port
 
 
@@ -200,15 +202,35 @@
     front_end = new_entry_front_end(
         node or builders.a_node(), handle, time.monotonic
     )
-    server = httpserver.HTTPServer(front_end, max_body_size=10**8)
-    (socket,) = netutil.bind_sockets(0, '127.0.0.1')
-    server.add_socket(socket)
+    server = EntryServer(front_end, max_body_size=10**8)
+    (listening,) = netutil.bind_sockets(0, '127.0.0.1')
+    server.add_socket(listening)
     try:
-        yield socket.getsockname()[1]
+        yield listening.getsockname()[1]
     finally:
         server.stop()
 
 
+def a_blocking_client(port, sent=b''):
+    """Connects without giving the loop of the server a chance to run."""
+    client = socket.create_connection(('127.0.0.1', port), timeout=2)
+    if sent:
+        client.sendall(sent)
+    return client
+
+
+async def receive_all(client):
+    """Returns the bytes until the close, or what arrived before a reset."""
+    client.setblocking(False)
+    received = b''
+    loop = asyncio.get_running_loop()
+    with contextlib.suppress(ConnectionError), contextlib.closing(client):
+        async with asyncio.timeout(2):
+            while chunk := await loop.sock_recv(client, 65536):
+                received += chunk
+    return received
+
+
 async def send_and_read_all(port, request):
     """Sends raw bytes and returns all bytes received until the close."""
     reader, writer = await asyncio.open_connection('127.0.0.1', port)
@@ -234,9 +256,9 @@
     def start(self):
         instances = []
         for name, streams in self.streams.items():
-            (socket,) = netutil.bind_sockets(0, '127.0.0.1')
-            streams.add_socket(socket)
-            port = socket.getsockname()[1]
+            (listening,) = netutil.bind_sockets(0, '127.0.0.1')
+            streams.add_socket(listening)
+            port = listening.getsockname()[1]
             instances.append(an_instance(name, peer_port=port))
         for name, node in self.nodes.items():
             builders.set_instances(node, instances)
