Work out the holders of a limit once for each change

Each attempt to borrow a token ranked all instances again: 0.9 ms at 1,000 instances, twenty times a second for each limited upstream with waiting calls. The holders are kept with the share now; a tick that borrows takes 22 us at 1,000 instances, and a changed limit 0.9 ms.

--- a/chervilstep/queries/throttling.py
+++ b/chervilstep/queries/throttling.py
@@ -21,7 +21,6 @@
 from chervilstep.services import Service, Upstream
 from chervilstep.throttles import (
     LOAN_TIMEOUT_SECONDS,
-    NO_SHARE,
     LimitEvidence,
     LimitShare,
     Throttle,
@@ -122,22 +121,11 @@
 
 def own_share(node: Node, upstream: str, limit: float) -> LimitShare:
     """Returns this instance's share of a limit in requests per second."""
-    holders = share_holders(node, upstream, limit)
+    holders = _share_holders(node, upstream, limit)
     if node.members.self_name not in holders:
-        return NO_SHARE
+        return LimitShare(0, 0, holders)
     rate = max(MIN_CALLS_PER_SECOND, limit) / len(holders)
-    return LimitShare(rate, max(1, rate * BURST_SECONDS))
-
-
-def share_holders(node: Node, upstream: str, limit: float) -> tuple[str, ...]:
-    """Returns the instances that have a share of a limit."""
-    instances = node.throttles.sharing_instances
-    count = min(len(instances), max(1, int(1 + limit * BURST_SECONDS)))
-    ranked = sorted(
-        instances,
-        key=lambda name: (rendezvous_score(name, f'limit\0{upstream}'), name),
-    )
-    return tuple(ranked[:count])
+    return LimitShare(rate, max(1, rate * BURST_SECONDS), holders)
 
 
 def wanted_loans(node: Node, now: Instant) -> Mapping[str, str]:
@@ -162,6 +150,16 @@
     return throttle is not None and throttle.own_tokens(now) >= 1
 
 
+def _share_holders(node: Node, upstream: str, limit: float) -> tuple[str, ...]:
+    instances = node.throttles.sharing_instances
+    count = min(len(instances), max(1, int(1 + limit * BURST_SECONDS)))
+    ranked = sorted(
+        instances,
+        key=lambda name: (rendezvous_score(name, f'limit\0{upstream}'), name),
+    )
+    return tuple(ranked[:count])
+
+
 def _loans_for_queue(
     node: Node, service: Service, waiting: int, now: Instant
 ) -> Mapping[str, str]:
@@ -189,11 +187,11 @@
 
 
 def _select_lender(node: Node, upstream: str, now: Instant) -> str | None:
-    limit = node.throttles.by_upstream[upstream].calls_per_second
+    throttle = node.throttles.by_upstream[upstream]
     peers = node.members.peers
     connected = [
         name
-        for name in share_holders(node, upstream, limit or 0)
+        for name in throttle.share.holders
         if name != node.members.self_name
         and name in peers
         and peers[name].is_connected
--- a/chervilstep/throttles.py
+++ b/chervilstep/throttles.py
@@ -57,12 +57,18 @@
 class LimitShare:
     """The part of a limit that one instance may use."""
 
-    __slots__ = ('_calls_per_second', '_capacity')
+    __slots__ = ('_calls_per_second', '_capacity', '_holders')
 
-    def __init__(self, calls_per_second: float, capacity: float) -> None:
+    def __init__(
+        self,
+        calls_per_second: float,
+        capacity: float,
+        holders: tuple[str, ...] = (),
+    ) -> None:
         """Creates a share; ``capacity`` is the most tokens that accumulate."""
         self._calls_per_second = calls_per_second
         self._capacity = capacity
+        self._holders = holders
 
     @property
     def calls_per_second(self) -> float:
@@ -74,6 +80,11 @@
         """The depth of the bucket in tokens."""
         return self._capacity
 
+    @property
+    def holders(self) -> tuple[str, ...]:
+        """The names of the instances that have a part."""
+        return self._holders
+
 
 NO_SHARE: Final = LimitShare(0, 0)
 #: How long a token that a peer has lent may be used.
