Tell restarted instances of requests that crash upstreams

A newly connected peer now gets all suspects with their lost upstreams and the time that is left; the same loss, told by several peers, counts once.

Before, no message told a new peer of suspects; the tests play the restart.

--- a/chervilstep/commands/poison.py
+++ b/chervilstep/commands/poison.py
@@ -1,8 +1,9 @@
 """Commands that track the requests that crash upstreams."""
 
-from typing import Final, cast, final
+from typing import cast, final
 
 from chervilstep.calls import Attempt, Ending, Outcome
+from chervilstep.commands.poison_updates import DIGEST_BYTES, MAX_NAME_LENGTH
 from chervilstep.fields import require_type
 from chervilstep.hooks import ATTEMPT_END_HOOKS, HANDLERS, MESSAGES, every
 from chervilstep.messages import EVERY_PEER, Message
@@ -10,11 +11,6 @@
 from chervilstep.queries import poison
 from chervilstep.types import Instant, new_deadline
 
-#: The length of a fingerprint, a 128-bit digest.
-DIGEST_BYTES: Final = 16
-#: The longest name of an upstream that is accepted in a message.
-MAX_NAME_LENGTH: Final = 255
-
 
 @MESSAGES.register('crash')
 @final
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -1,8 +1,10 @@
 """Tests of requests that crash every upstream that runs them."""
 
+import msgpack
 import pytest
 
 from chervilstep import refusals
+from chervilstep.adapters import codec
 from chervilstep.calls import Answer, Ending
 from chervilstep.commands.poison import (
     Crash,
@@ -10,6 +12,12 @@
     handle_crash,
     update_suspects,
 )
+from chervilstep.commands.poison_updates import (
+    SuspectUpdate,
+    handle_suspect_update,
+    send_known_suspects,
+)
+from chervilstep.exceptions import PeerError
 from chervilstep.hooks import MESSAGES
 from chervilstep.quarantine import MAX_SUSPECTS_PER_CUSTOMER
 from chervilstep.queries.poison import (
@@ -197,3 +205,63 @@
     assert one != fingerprint(
         an_unlimited_node(), a_poison_ticket(body=b'other')
     )
+
+
+def tell_suspects(sender, receiver, now):
+    """Delivers what ``sender`` sends when ``receiver`` connects."""
+    send_known_suspects(sender, receiver.settings.name, now)
+    for envelope in sender.outbox.envelopes:
+        decoded = codec.decode(
+            msgpack.unpackb(
+                codec.encode(envelope.message)[codec.LENGTH_PREFIX_BYTES :]
+            )
+        )
+        handle_suspect_update(receiver, sender.settings.name, decoded, now)
+    sender.outbox.clear()
+
+
+def test_restarted_instance_hears_of_requests_in_quarantine():
+    known, restarted = an_unlimited_node(), an_unlimited_node()
+    ticket = a_poison_ticket()
+    lose_upstream(known, ticket, 'strike-1')
+    lose_upstream(known, ticket, 'strike-2', now=1)
+    known.outbox.clear()
+    for _ in range(3):
+        tell_suspects(known, restarted, 2)
+    assert is_quarantined(restarted, ticket, 2)
+    end = 1 + BASE_QUARANTINE_SECONDS
+    assert not is_quarantined(restarted, ticket, end + 0.1)
+    (suspect,) = restarted.quarantine.by_customer['fletcher'].values()
+    assert suspect.loss_count == 2
+    expire_suspects(restarted, end + SUSPECT_TTL_SECONDS + 0.1)
+    assert not restarted.quarantine.by_customer
+
+
+def test_restarted_instance_hears_of_the_first_loss():
+    known, restarted = an_unlimited_node(), an_unlimited_node()
+    ticket = a_poison_ticket()
+    lose_upstream(known, ticket, 'strike-1')
+    known.outbox.clear()
+    tell_suspects(known, restarted, 1)
+    assert not is_quarantined(restarted, ticket, 1)
+    lose_upstream(restarted, ticket, 'strike-2', now=2)
+    assert is_quarantined(restarted, ticket, 2)
+
+
+@pytest.mark.parametrize(
+    'entry',
+    [None, (), ('fletcher', b'1' * 16, (), 1), (1, b'1' * 16, (), 1, 1)]
+    + [('fletcher', b'1', (), 1, 1), ('fletcher', b'1' * 16, 'a', 1, 1)]
+    + [('fletcher', b'1' * 16, (1,), 1, 1)]
+    + [('fletcher', b'1' * 16, ('a',) * 9, 1, 1)]
+    + [('fletcher', b'1' * 16, ('a' * 300,), 1, 1)]
+    + [
+        ('fletcher', b'1' * 16, (), *seconds)
+        for seconds in ((float('inf'), 1), (1, float('nan')), (-1, 1), (1, 1e9))
+    ],
+)
+def test_malformed_suspect_of_a_peer_raises_peer_error(entry):
+    node = an_unlimited_node()
+    with pytest.raises(PeerError):
+        handle_suspect_update(node, 'entry-2', SuspectUpdate([entry]), 0)
+    assert not node.quarantine.by_customer
