Do not blame limits for calls that are due anyway

Without any limit, the rate within limits is infinite, and for a waiting call with less time left than an answer takes it was multiplied by zero: all such calls but the first were refused as upstreams-limited. The test failed before, with two of three calls refused.

--- a/chervilstep/queries/queueing.py
+++ b/chervilstep/queries/queueing.py
@@ -1,5 +1,6 @@
 """Queries on the queues: which calls may wait, are granted or refused."""
 
+import math
 from collections import Counter
 from collections.abc import Iterator
 from typing import Final
@@ -91,8 +92,8 @@
 ) -> float:
     """Returns how many calls of a queue can be sent until a call is due.
 
-    The result is at least one, since tokens can be borrowed only for a call
-    that waits.
+    Within limits the result is at least one, since tokens can be borrowed only
+    for a call that waits.
 
     Args:
         node: The state of this instance.
@@ -100,6 +101,8 @@
         calls_per_second: What can be sent; infinite without limits.
         now: The current time.
     """
+    if math.isinf(calls_per_second):
+        return math.inf
     seconds = ticket.deadline.remaining(now) - mean_latency(
         node, ticket.route.service
     )
--- a/tests/test_throttling.py
+++ b/tests/test_throttling.py
@@ -19,6 +19,7 @@
     record_checked_limit,
     spend_limit_token,
 )
+from chervilstep.estimates import MIN_ANSWERS
 from chervilstep.exceptions import PeerError
 from chervilstep.platform.dialect import PlatformDialect
 from chervilstep.queries import throttling
@@ -406,6 +407,15 @@
     assert refusals_of_waiters(node, 0) == [UPSTREAMS_LIMITED]
 
 
+def test_calls_that_are_due_are_not_refused_for_limits_without_any():
+    node = a_node()
+    for _ in range(3):
+        wait_in_queue(node, 0, seconds=0.01)
+    for _ in range(MIN_ANSWERS):
+        node.latency_estimates.record('strike', 0.5)
+    assert not refusals_of_waiters(node, 0)
+
+
 def test_waiting_calls_of_a_lower_priority_are_refused_first():
     node = a_fully_limited_node(0.5, size=1)
     bulk = wait_in_queue(node, 0, priority=Priority.BULK)
