--- a/tests/throttle_builders.py
+++ b/tests/throttle_builders.py
@@ -1,171 +1,142 @@
-"""Builders of upstreams that state limits, and of fleets that call them."""
-
-import asyncio
-import contextlib
-import time
-
-import msgpack
-
-from chervilstep.adapters import codec
-from chervilstep.adapters.capabilities import load_capabilities
-from chervilstep.adapters.dispatcher import new_dispatcher
-from chervilstep.adapters.pool import new_pool
-from chervilstep.adapters.ticker import new_ticker
-from chervilstep.calls import Call
-from chervilstep.hooks import HANDLERS
-from chervilstep.messages import EVERY_PEER
-from chervilstep.node import new_node
-from chervilstep.platform.dialect import PLATFORM_DIALECT
-from chervilstep.queries.soonest import SOONEST
-from chervilstep.services import Service
-from chervilstep.types import new_deadline
+"""Builders of instances and fleets that know the limits of upstreams."""
+
+from chervilstep.calls import Ending, Outcome
+from chervilstep.commands.queueing import enqueue, remove
+from chervilstep.commands.throttling import (
+    record_answered_limit,
+    spend_limit_token,
+)
+from chervilstep.queries import throttling
+from chervilstep.queries.throttling import may_send_within_limit
+from chervilstep.queues import Waiter
+from chervilstep.reports import new_stated_limit
+from chervilstep.snapshot import Priority
+from chervilstep.types import Verdict
 from tests.builders import (
-    KEY,
-    a_customer,
-    a_settings,
+    a_node,
+    a_route,
     a_snapshot,
+    an_attempt,
     an_upstream,
-    digest_key,
     set_instances,
     some_instances,
 )
-from tests.wire_builders import close_writer
-
-load_capabilities()
-
-#: How often messages between the instances are delivered.
-PUMP_PERIOD_SECONDS = 0.005
-
-
-class StatingUpstream:
-    """Answers every request at once, with its ID and the limit, if any."""
-
-    def __init__(self, limit=None):
-        self.limit = limit
-        self.arrived_at = []
-        self._writers = []
-
-    async def start(self):
-        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
-        return self._server.sockets[0].getsockname()[1]
-
-    async def stop(self):
-        self._server.close()
-        for writer in self._writers:
-            await close_writer(writer)
-
-    async def _serve(self, reader, writer):
-        self._writers.append(writer)
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
-            while True:
-                head = await reader.readuntil(b'\r\n\r\n')
-                self.arrived_at.append(time.monotonic())
-                writer.write(self._answer(head))
-                await writer.drain()
-
-    def _answer(self, head):
-        request_id = head.partition(b'X-Request-Id: ')[2].partition(b'\r')[0]
-        limit = b''
-        if self.limit is not None:
-            limit = f'Server-Limit: {self.limit}\r\n'.encode()
-        return (
-            b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Request-Id: '
-            + request_id
-            + b'\r\n'
-            + limit
-            + b'\r\nok'
-        )
-
-
-class CallingFleet:
-    """Instances that send calls to upstreams over real connections."""
-
-    def __init__(self, size, snapshot):
-        instances = some_instances(size, zones=('akl',))
-        self.nodes = {}
-        self.dispatchers = []
-        self._pools = []
-        self._tickers = []
+from tests.dispatch_builders import a_progress, a_timed_ticket
+from tests.virtual_builders import LIMIT_TICKS, PEER_TICKS, VirtualFleet
+
+UPSTREAM = an_upstream()
+#: The agreed window, and the excess over the limit within it.
+WINDOW_SECONDS = 4
+EXCESS_FACTOR = 1.5
+EXCESS_CALLS = 5
+#: All instances must keep to a limit this long after it was first stated.
+SPREAD_SECONDS = 0.5
+#: How often calls are sent in virtual time.
+STEP_SECONDS = 0.02
+
+
+def state_limit(
+    node, stated, asked_at, heard_at, upstream=UPSTREAM, ending=Ending.ANSWERED
+):
+    """Ends an attempt whose answer states a limit."""
+    attempt = an_attempt(upstream=upstream, now=asked_at)
+    outcome = Outcome(ending, Verdict.RAN, heard_at, stated_limit=stated)
+    record_answered_limit(node, attempt, outcome)
+
+
+def known_limit(node, upstream=UPSTREAM):
+    return throttling.known_limit(node, upstream.name)
+
+
+def allowed_in_window(limit):
+    return EXCESS_FACTOR * limit * WINDOW_SECONDS + EXCESS_CALLS
+
+
+class SharingFleet:
+    """Instances that list each other and know the limit of an upstream."""
+
+    def __init__(self, size, limit):
+        instances = some_instances(size)
+        self.nodes = []
         for instance in instances:
-            node = new_node(
-                a_settings(instance.name, dialect=PLATFORM_DIALECT), size
-            )
-            node.configuration.publish(snapshot)
+            node = a_node(name=instance.name)
             set_instances(node, instances)
-            for other in instances:
-                if other is not instance:
-                    peer = node.members.get_or_create_peer(other.name)
-                    peer.record_connect()
-            self.nodes[instance.name] = node
-            pool = new_pool(
-                node.settings, time.monotonic, lambda name, opened_at: True
-            )
-            self._pools.append(pool)
-            self.dispatchers.append(new_dispatcher(node, pool, time.monotonic))
-            self._tickers.append(new_ticker(node, time.monotonic))
-
-    async def pump(self):
-        """Delivers messages between the instances until cancelled."""
-        for ticker in self._tickers:
-            ticker.start()
-        while True:
-            for node in self.nodes.values():
-                self._deliver_from(node)
-            await asyncio.sleep(PUMP_PERIOD_SECONDS)
-
-    def _deliver_from(self, node):
-        envelopes = node.outbox.envelopes
-        node.outbox.clear()
-        for envelope in envelopes:
-            frame = codec.encode(envelope.message)[codec.LENGTH_PREFIX_BYTES :]
-            for name, recipient in self.nodes.items():
-                is_recipient = envelope.recipient in {EVERY_PEER, name}
-                if is_recipient and recipient is not node:
-                    message = codec.decode(msgpack.unpackb(frame))
-                    HANDLERS.find(message.kind)(
-                        recipient,
-                        node.settings.name,
-                        message,
-                        time.monotonic(),
-                    )
-
-    def close(self):
-        for ticker in self._tickers:
-            ticker.stop()
-        for pool in self._pools:
-            pool.close()
-
-
-def a_numbered_call(number, seconds=0.5):
-    return Call(
-        'GET',
-        '/strike/1',
-        (('X-Request-Id', f'call-{number}'),),
-        b'',
-        key_digest=digest_key(KEY),
-        deadline=new_deadline(time.monotonic(), seconds),
-        request_id=f'call-{number}',
+            state_limit(node, new_stated_limit(limit), -1, 0)
+            self.nodes.append(node)
+
+    def press(self, seconds):
+        """Sends from each instance whenever allowed; returns the instants."""
+        sent = []
+        for step in range(int(seconds / STEP_SECONDS)):
+            now = step * STEP_SECONDS
+            sent += [now for node in self.nodes if send_call(node, now)]
+        return sent
+
+
+def send_call(node, now):
+    """Sends a call to the upstream if its limit allows that."""
+    if not may_send_within_limit(node, UPSTREAM, now):
+        return False
+    spend_limit_token(node, an_attempt(upstream=UPSTREAM, now=now))
+    return True
+
+
+def a_limited_fleet(size, limit, seed=1):
+    """Returns a fleet in which one instance has just heard of a limit."""
+    fleet = VirtualFleet(
+        size, a_snapshot(), seed, ticks=(*PEER_TICKS, *LIMIT_TICKS)
     )
-
-
-@contextlib.asynccontextmanager
-async def a_calling_fleet(size, *upstreams):
-    """Starts the upstreams and a fleet that calls them."""
-    servers = [
-        an_upstream(f'strike-{index}', port=await upstream.start(), slots=50)
-        for index, upstream in enumerate(upstreams)
-    ]
-    snapshot = a_snapshot(
-        services=[Service('strike', servers, SOONEST)],
-        customers=[a_customer(rate=0, burst=0)],
+    fleet.run(3)
+    hear_limit(fleet, fleet.names[0], new_stated_limit(limit))
+    fleet.run(0.5)
+    return fleet
+
+
+def hear_limit(fleet, name, stated):
+    """Makes an instance hear of a limit in the answer to a request."""
+    state_limit(fleet.nodes[name], stated, fleet.now - 0.01, fleet.now)
+
+
+def press(fleet, seconds):
+    """Sends from each instance whenever allowed; returns the instants."""
+    sent = []
+    end = fleet.now + seconds
+    while fleet.now < end:
+        sent += [
+            fleet.now
+            for node in fleet.nodes.values()
+            if send_call(node, fleet.now)
+        ]
+        fleet.run(STEP_SECONDS)
+    return sent
+
+
+def wait_in_queue(node, now, seconds=2, priority=Priority.NORMAL):
+    """Adds a call to the queue of the service; returns the waiter."""
+    ticket = a_timed_ticket(
+        route=a_route(priority=priority), now=now, seconds=seconds
     )
-    fleet = CallingFleet(size, snapshot)
-    pump = asyncio.create_task(fleet.pump())
-    try:
-        yield fleet
-    finally:
-        pump.cancel()
-        await asyncio.gather(pump, return_exceptions=True)
-        fleet.close()
-        for upstream in upstreams:
-            await upstream.stop()
+    waiter = Waiter(a_progress(ticket), now)
+    enqueue(node, waiter)
+    return waiter
+
+
+def send_pending(fleet, pending):
+    """Sends the calls that wait; returns the instants at which they were."""
+    sent = []
+    for node, waiter in tuple(pending):
+        is_sent = send_call(node, fleet.now)
+        if is_sent or waiter.deadline.has_passed(fleet.now):
+            pending.remove((node, waiter))
+            remove(node, waiter)
+        if is_sent:
+            sent.append(fleet.now)
+    return sent
+
+
+def a_fully_limited_node(limit, size=14):
+    """Returns a node of a fleet; all upstreams of the service have a limit."""
+    node = SharingFleet(size, limit).nodes[0]
+    for upstream in node.snapshot.services['strike'].upstreams:
+        state_limit(node, new_stated_limit(limit), -1, 0, upstream)
+    return node
