State limits beside the faults of the soak, at half of the upstreams

As one of the faults, limits changed what the earlier seeds draw, and a single upstream of 36 gets too few requests to exceed one. They are a series of their own now, so that the faults of a seed stay the same.

--- a/lab/commands/soak_faults.py
+++ b/lab/commands/soak_faults.py
@@ -24,8 +24,8 @@
 MAX_FAULT_SECONDS: Final = 4.0
 #: The limits that upstreams state, in requests per second, and for how long at
 #: least.
-LIMITS: Final = (0, 0.5, 2, 5)
-LIMIT_SECONDS: Final = 5.0
+LIMITS: Final = (0, 0.2, 0.5, 2)
+LIMIT_SECONDS: Final = 6.0
 
 
 @SOAK_FAULTS.register('store-link')
@@ -85,18 +85,18 @@
     await testbed.deployment.inject_fault((name,), 'recover')
 
 
-@SOAK_FAULTS.register('limit')
 async def state_limit(
     testbed: Testbed, rng: random.Random, max_seconds: float
 ) -> None:
-    """Makes one upstream state a limit, for longer than other faults last."""
-    name = rng.choice(sorted(testbed.upstream_links))
+    """Makes half of the upstreams state a limit, longer than faults last."""
+    names = sorted(testbed.upstream_links)
+    limited = tuple(rng.sample(names, len(names) // 2))
     limit = rng.choice(LIMITS)
-    testbed.log_event(f'{name} states a limit of {limit}')
-    await testbed.deployment.inject_fault((name,), 'limit', str(limit))
-    await asyncio.sleep(rng.uniform(1, 2) * LIMIT_SECONDS)
-    await testbed.deployment.inject_fault((name,), 'limit')
-    testbed.log_event(f'{name} states no limit')
+    testbed.log_event(f'{", ".join(limited)} state a limit of {limit}')
+    await testbed.deployment.inject_fault(limited, 'limit', str(limit))
+    await asyncio.sleep(min(max_seconds, rng.uniform(1, 2) * LIMIT_SECONDS))
+    await testbed.deployment.inject_fault(limited, 'limit')
+    testbed.log_event('no upstream states a limit')
 
 
 @SOAK_FAULTS.register('pause')
--- a/lab/soak.py
+++ b/lab/soak.py
@@ -17,7 +17,7 @@
 from lab.arrivals import Record
 from lab.caller import Caller, CallOutcome, Request
 from lab.client import Client
-from lab.commands.soak_faults import SOAK_FAULTS
+from lab.commands.soak_faults import SOAK_FAULTS, state_limit
 from lab.deployment import Deployment, new_deployment
 from lab.documents import new_document, section_values
 from lab.measures import Checks
@@ -124,6 +124,7 @@
                 group.create_task(
                     self._inject_faults(random.Random(self._rng.random()))
                 )
+            group.create_task(self._state_limits(_copy_random(self._rng)))
             await load
         await self._testbed.end_faults()
 
@@ -163,6 +164,12 @@
             remaining = self._load_until - time.monotonic()
             await SOAK_FAULTS.find(name)(self._testbed, rng, max(0, remaining))
 
+    async def _state_limits(self, rng: random.Random) -> None:
+        while time.monotonic() < self._load_until:
+            await asyncio.sleep(rng.uniform(0, 1))
+            remaining = self._load_until - time.monotonic()
+            await state_limit(self._testbed, rng, max(0, remaining))
+
     async def _send_load(self) -> None:
         client = Client()
         callers = self._callers(client)
@@ -213,6 +220,16 @@
         )
 
 
+def _copy_random(rng: random.Random) -> random.Random:
+    """Returns a generator that continues like ``rng`` and leaves it as it is.
+
+    The faults and the load of earlier seeds thus stay the same.
+    """
+    copied = random.Random()
+    copied.setstate(rng.getstate())
+    return copied
+
+
 async def soak_once(
     seed: int, seconds: float, folder: pathlib.Path
 ) -> SoakResult:
