--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -25,7 +25,7 @@
 from lab.processes import Processes
 from lab.queries.demands import FAULT_SEPARATOR, HEADROOM
 from lab.scaled import new_scaled_plan
-from lab.soak import run_soak
+from lab.soak import DEFAULT_INSTANCES, run_soak
 
 OUTPUT_DIR = pathlib.Path(__file__).parent / 'out'
 
@@ -184,13 +184,19 @@
     return 0
 
 
-def soak(*, seeds: list[int], seconds: float = 20) -> int:
+def soak(
+    *,
+    seeds: list[int],
+    seconds: float = 20,
+    instances: int = DEFAULT_INSTANCES,
+) -> int:
     """Run real processes under random faults and check their guarantees.
 
     :param seeds: the seeds of the load and faults, one soak each
     :param seconds: the seconds during which each soak injects faults
+    :param instances: the number of entry instances
     """
-    return min(1, run_soak(seeds, seconds))
+    return min(1, run_soak(seeds, seconds, instances))
 
 
 def main() -> int:
--- a/lab/soak.py
+++ b/lab/soak.py
@@ -28,7 +28,7 @@
 from lab.testbed import Testbed, new_testbed
 from lab.topology import port_count
 
-INSTANCES: Final = 3
+DEFAULT_INSTANCES: Final = 3
 #: Requests per second of all callers together.
 CALLS_PER_SECOND: Final = 60
 CALL_TIMEOUT_SECONDS: Final = 2
@@ -231,12 +231,15 @@
 
 
 async def soak_once(
-    seed: int, seconds: float, folder: pathlib.Path
+    seed: int,
+    seconds: float,
+    folder: pathlib.Path,
+    instances: int = DEFAULT_INSTANCES,
 ) -> SoakResult:
     """Starts a deployment, soaks it and stops it."""
     with Processes(folder) as processes:
         deployment = new_deployment(
-            PLANS.find('nz')(), INSTANCES, processes, folder
+            PLANS.find('nz')(), instances, processes, folder
         )
         async with contextlib.AsyncExitStack() as stack:
             testbed = await _start(deployment, stack)
@@ -262,7 +265,7 @@
     deployment: Deployment, stack: contextlib.AsyncExitStack
 ) -> Testbed:
     topology = deployment.topology
-    deployment_ports = port_count(topology.plan, INSTANCES)
+    deployment_ports = port_count(topology.plan, len(deployment.entries))
     link_count = len(topology.upstreams) + len(deployment.entries)
     # The first ports belong to the deployment, which does not listen yet.
     ports = free_ports(deployment_ports + link_count)[deployment_ports:]
@@ -276,13 +279,15 @@
     return testbed
 
 
-def run_soak(seeds: Iterable[int], seconds: float) -> int:
+def run_soak(
+    seeds: Iterable[int], seconds: float, instances: int = DEFAULT_INSTANCES
+) -> int:
     """Soaks with each seed; returns the number of failed seeds."""
     failed_count = 0
     for seed in seeds:
         with tempfile.TemporaryDirectory() as folder_name:
             result = asyncio.run(
-                soak_once(seed, seconds, pathlib.Path(folder_name))
+                soak_once(seed, seconds, pathlib.Path(folder_name), instances)
             )
         print(result, flush=True)
         failed_count += not result.has_passed
