Announce the close of native connections at a planned stop

Kept connections of a leaving instance were closed at the end of its stop without notice, so a request could cross the close and get no answer. Each answer of a leaving instance now says that the connection closes, as on the platform's front end. A Content-Length of thousands of digits, which closed the connection without an answer, is refused with 400.

Both tests failed before.

--- a/chervilstep/adapters/answers.py
+++ b/chervilstep/adapters/answers.py
@@ -6,10 +6,9 @@
 from tornado import httputil
 
 from chervilstep.calls import Answer, Headers
-from chervilstep.queries.headers import answer_headers
+from chervilstep.queries.headers import answer_headers, parse_content_length
 
 _KEEP_ALIVE_TIMEOUT: Final = re.compile(r'timeout=(\d+)')
-_LENGTH_PATTERN: Final = re.compile('[0-9]{1,18}')
 _STATUSES_WITHOUT_BODY: Final = frozenset((204, 304))
 
 
@@ -60,10 +59,8 @@
     @property
     def is_too_large(self) -> bool:
         """Whether the content length is above the limit."""
-        length = self._headers.get('Content-Length', '')
-        if not _LENGTH_PATTERN.fullmatch(length):
-            return False
-        return int(length) > self._body_limit_bytes
+        length = parse_content_length(self._headers.get('Content-Length'))
+        return length > self._body_limit_bytes
 
     @property
     def keeps_alive(self) -> bool:
--- a/chervilstep/adapters/entry.py
+++ b/chervilstep/adapters/entry.py
@@ -202,6 +202,9 @@
             headers.add(name, text)
         if _has_body(answer, self._start_line.method):
             headers['Content-Length'] = str(len(answer.body))
+        if self._front_end.node.members.is_leaving:
+            # A request on a kept connection could cross the close at the end.
+            headers['Connection'] = 'close'
         try:
             written = self._connection.write_headers(
                 httputil.ResponseStartLine(
@@ -243,8 +246,9 @@
         )
 
     def _content_length(self) -> int:
-        length = self._headers.get('Content-Length', '')
-        return int(length) if length.isdigit() else 0
+        return header_rules.parse_content_length(
+            self._headers.get('Content-Length')
+        )
 
     def _body_limit_bytes(self) -> int:
         return self._front_end.node.settings.body_limit_bytes
--- a/chervilstep/queries/headers.py
+++ b/chervilstep/queries/headers.py
@@ -34,6 +34,7 @@
 MAX_MILLISECONDS: Final = 10**9
 #: Python refuses to convert numbers of thousands of digits.
 _MILLISECONDS_PATTERN: Final = re.compile('[0-9]{1,20}')
+_LENGTH_PATTERN: Final = re.compile('[0-9]{1,18}')
 _LIMIT_PATTERN: Final = re.compile(r'[0-9]{1,9}(?:\.[0-9]{1,9})?')
 _BEARER_PREFIX: Final = 'bearer '
 
@@ -111,6 +112,13 @@
     return min(int(text), MAX_MILLISECONDS)
 
 
+def parse_content_length(text: str | None) -> int:
+    """Returns the length of a body; zero if it is missing or no number."""
+    if text is None or not _LENGTH_PATTERN.fullmatch(text):
+        return 0
+    return int(text)
+
+
 def parse_limit(text: str | None) -> StatedLimit:
     """Returns what a header value says about the limit of an upstream.
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -10,6 +10,7 @@
 from tests import builders
 from tests.wire_builders import (
     a_blocking_client,
+    a_raw_client,
     an_entry_server,
     an_instance,
     receive_all,
@@ -175,3 +176,34 @@
 
     answers = asyncio.run(scenario())
     assert all(answer.endswith(b'body') for answer in answers)
+
+
+def test_answers_of_a_leaving_instance_close_their_connection():
+    node = builders.a_node()
+    request = b'GET /strike/1 HTTP/1.1\r\nHost: x\r\n\r\n'
+
+    async def scenario():
+        handler = RecordingHandler(Answer(200, 'OK', (), b'body'))
+        async with an_entry_server(handler, node) as port:
+            async with a_raw_client(port) as (reader, writer):
+                writer.write(request)
+                before = await reader.readuntil(b'body')
+                node.members.mark_leaving()
+                writer.write(request)
+                return before, await reader.readuntil(b'body')
+
+    before, after = asyncio.run(scenario())
+    assert b'Connection: close' not in before
+    assert b'Connection: close' in after
+
+
+@pytest.mark.parametrize('length', [b'9' * 5000, b'-1', b'1x'])
+def test_malformed_length_of_a_request_is_refused(length):
+    answer, calls = send_and_record(
+        b'POST /strike/1 HTTP/1.1\r\nHost: x\r\nContent-Length: '
+        + length
+        + b'\r\n'
+        + CLOSE
+    )
+    assert answer.startswith(b'HTTP/1.1 400')
+    assert not calls
