--- a/tests/test_throttling.py
+++ b/tests/test_throttling.py
@@ -4,26 +4,44 @@
 
 from chervilstep.adapters.dialect import NativeDialect
 from chervilstep.calls import Ending
+from chervilstep.commands.health import record_health_check, spend_cold_token
 from chervilstep.commands.queueing import grant
-from chervilstep.commands.throttling import record_checked_limit
+from chervilstep.commands.throttling import (
+    record_checked_limit,
+    spend_limit_token,
+)
 from chervilstep.estimates import MIN_ANSWERS
 from chervilstep.platform.dialect import PlatformDialect
 from chervilstep.queries.choice import choose_upstream
 from chervilstep.queries.explaining import explain
 from chervilstep.queries.queueing import enqueue_refusal, unservable_waiters
 from chervilstep.queries.retry_after import retry_after_seconds
+from chervilstep.queries.soonest import SOONEST
 from chervilstep.refusals import UPSTREAMS_LIMITED
 from chervilstep.reports import NO_LIMIT, new_stated_limit, new_unreadable_limit
+from chervilstep.services import ColdStart, Service
 from chervilstep.snapshot import Priority
-from tests.builders import a_call, a_node
+from tests.builders import (
+    a_call,
+    a_node,
+    a_snapshot,
+    an_attempt,
+    an_upstream,
+    set_instances,
+    some_instances,
+)
 from tests.dispatch_builders import a_progress, a_timed_ticket
 from tests.throttle_builders import (
+    STEP_SECONDS,
     UPSTREAM,
     a_fully_limited_node,
     known_limit,
     state_limit,
     wait_in_queue,
 )
+from tests.virtual_builders import most_in_window
+
+COLD_CALLS_PER_SECOND = 2
 
 
 @pytest.mark.parametrize(
@@ -204,3 +222,36 @@
         choose_upstream(node, service, frozenset(), 1.1) for _ in range(30)
     }
     assert chosen == {service.upstreams[2]}
+
+
+def sent_to_one_cold_upstream(limit, seconds=2.9):
+    """Presses a lone instance whose only upstream is cold and limited."""
+    cold_start = ColdStart(3, COLD_CALLS_PER_SECOND)
+    service = Service('strike', [UPSTREAM], SOONEST, cold_start)
+    node = a_node(a_snapshot(services=[service]))
+    set_instances(node, some_instances(1))
+    record_health_check(node, service, UPSTREAM.name, None, 3, 0)
+    state_limit(node, new_stated_limit(limit), -1, 0)
+    sent = []
+    for step in range(int(seconds / STEP_SECONDS)):
+        now = step * STEP_SECONDS
+        if choose_upstream(node, service, frozenset(), now) is not None:
+            attempt = an_attempt(upstream=UPSTREAM, now=now)
+            spend_cold_token(node, attempt)
+            spend_limit_token(node, attempt)
+            sent.append(now)
+    return sent
+
+
+def test_smaller_bound_of_a_cold_and_limited_upstream_holds():
+    assert len(sent_to_one_cold_upstream(0.4)) <= 1 + 0.4 * 2.9
+    bound = COLD_CALLS_PER_SECOND * 1.5 + 5
+    assert most_in_window(sent_to_one_cold_upstream(1000), 1) <= bound
+
+
+def test_restarted_upstream_starts_without_the_limit():
+    node = a_node()
+    first, restarted = an_upstream('i-1/1700'), an_upstream('i-1/1800')
+    state_limit(node, new_stated_limit(5), 0, 1, first)
+    assert known_limit(node, first) == 5
+    assert known_limit(node, restarted) is None
