--- a/chervilstep/adapters/health.py
+++ b/chervilstep/adapters/health.py
@@ -119,7 +119,7 @@
             client = KeepAliveClient(upstream.address, MAX_ANSWER_BYTES)
             self._clients[upstream.name] = client
         self._node.counters.add('health_checks', service=service.name)
-        asked_at = self._clock()
+        requested_at = self._clock()
         try:
             fetched = await client.get(
                 service.health_path, CHECK_TIMEOUT_SECONDS
@@ -130,14 +130,14 @@
                 self._node, service, upstream.name, self._clock()
             )
         else:
-            self._record_answer(service, upstream, fetched, asked_at)
+            self._record_answer(service, upstream, fetched, requested_at)
 
     def _record_answer(
         self,
         service: Service,
         upstream: Upstream,
         fetched: FetchedAnswer,
-        asked_at: Instant,
+        requested_at: Instant,
     ) -> None:
         now = self._clock()
         identity = self._dialect.identity(fetched.headers)
@@ -155,7 +155,9 @@
             now,
         )
         limit = self._dialect.stated_limit(fetched.headers)
-        record_checked_limit(self._node, upstream.name, limit, asked_at, now)
+        record_checked_limit(
+            self._node, upstream.name, limit, requested_at, now
+        )
 
 
 def new_health_checker(
--- a/chervilstep/commands/limit_updates.py
+++ b/chervilstep/commands/limit_updates.py
@@ -53,7 +53,7 @@
 
 @every(UPDATE_PERIOD_SECONDS, 'limits')
 def send_limit_update(node: Node, now: Instant) -> None:
-    """Sends all peers the limits that this instance has heard of first."""
+    """Sends all peers the limits that have changed here."""
     changed = node.throttles.changed_upstreams
     if changed:
         node.throttles.clear_changed()
@@ -76,7 +76,7 @@
 def handle_limit_update(
     node: Node, peer: str, message: Message, now: Instant
 ) -> None:
-    """Records the limits that a peer has heard of.
+    """Records the limits that a peer reports.
 
     The peer gets those for which this instance knows of a later or, among
     overlapping answers, a lower statement.
@@ -112,8 +112,8 @@
 def _encode_evidence(evidence: LimitEvidence, now: Instant) -> LimitEntry:
     return (
         evidence.calls_per_second,
-        _age_ms(evidence.asked_at, now),
-        _age_ms(evidence.heard_at, now),
+        _age_ms(evidence.requested_at, now),
+        _age_ms(evidence.received_at, now),
     )
 
 
@@ -127,9 +127,11 @@
     if not isinstance(entry, (list, tuple)) or len(entry) != _ENTRY_FIELDS:
         raise PeerError('limit is not a list of three fields')
     limit = None if entry[0] is None else require_range(entry[0], MAX_LIMIT)
-    asked_at = _instant(entry[1], now)
-    heard_at = _instant(entry[2], now)
-    return LimitEvidence(limit, min(asked_at, heard_at), heard_at, peer)
+    requested_at = _instant(entry[1], now)
+    received_at = _instant(entry[2], now)
+    return LimitEvidence(
+        limit, min(requested_at, received_at), received_at, peer
+    )
 
 
 def _instant(age_ms: int, now: Instant) -> Instant:
--- a/chervilstep/commands/throttling.py
+++ b/chervilstep/commands/throttling.py
@@ -58,7 +58,7 @@
     node: Node,
     upstream: str,
     stated: StatedLimit,
-    asked_at: Instant,
+    requested_at: Instant,
     now: Instant,
 ) -> None:
     """Records the limit that the answer to a health check states.
@@ -67,14 +67,14 @@
     their limit there.
     """
     if stated is not NO_LIMIT:
-        record_stated_limit(node, upstream, stated, asked_at, now)
+        record_stated_limit(node, upstream, stated, requested_at, now)
 
 
 def record_stated_limit(
     node: Node,
     upstream: str,
     stated: StatedLimit,
-    asked_at: Instant,
+    requested_at: Instant,
     now: Instant,
 ) -> None:
     """Records what an answer to this instance says about the limit."""
@@ -82,7 +82,7 @@
         record_unreadable_limit(node, upstream, stated.unreadable_text, now)
         return
     evidence = LimitEvidence(
-        stated.calls_per_second, asked_at, now, node.settings.name
+        stated.calls_per_second, requested_at, now, node.settings.name
     )
     record_evidence(node, upstream, evidence, now)
 
@@ -104,7 +104,7 @@
 def record_evidence(
     node: Node, upstream: str, received: LimitEvidence, now: Instant
 ) -> None:
-    """Records a statement of an upstream, heard here or by a peer."""
+    """Records a statement of an upstream, received here or by a peer."""
     throttle = node.throttles.by_upstream.get(upstream)
     known = throttle.evidence if throttle else None
     merged = merge_evidence(known, received)
@@ -119,7 +119,7 @@
         return
     _update_share(node, upstream, throttle, now)
     _log_change(node, upstream, merged, previous, now)
-    # In a full mesh the peer that heard the limit first has told all others.
+    # In a full mesh, the instance that received the answer sends it to all.
     if merged.source == node.settings.name or not is_full_mesh(node.members):
         node.throttles.mark_changed(upstream)
 
@@ -142,7 +142,7 @@
         return
     configured = configured_upstreams(node)
     for upstream, throttle in tuple(node.throttles.by_upstream.items()):
-        age = now - throttle.evidence.heard_at
+        age = now - throttle.evidence.received_at
         if upstream not in configured and age > UNCONFIGURED_RETENTION_SECONDS:
             node.throttles.remove(upstream)
 
@@ -170,5 +170,5 @@
         limit=merged.calls_per_second,
         previous=previous,
         source=merged.source,
-        age=round(now - merged.heard_at, 3),
+        age=round(now - merged.received_at, 3),
     )
--- a/chervilstep/queries/explaining.py
+++ b/chervilstep/queries/explaining.py
@@ -94,9 +94,9 @@
     service = node.snapshot.services.get(route.service)
     limits = describe_limits(node, service.upstreams if service else (), now)
     return [
-        f'{name} accepts {entry["limit"]} requests/s from all instances, as'
-        f' {entry["source"]} heard {entry["age"]} s ago; the part of this'
-        f' instance is {entry["share"]}, tokens left: {entry["tokens"]}'
+        f'{name} accepts {entry["limit"]} requests/s from all instances'
+        f' (received by {entry["source"]} {entry["age"]} s ago); the share of'
+        f' this instance is {entry["share"]}, tokens left: {entry["tokens"]}'
         for name, entry in limits.items()
     ]
 
--- a/chervilstep/queries/headers.py
+++ b/chervilstep/queries/headers.py
@@ -26,7 +26,7 @@
 REASON_HEADER: Final = 'Chervilstep-Reason'
 #: Set by an upstream that did not run the request.
 NOT_RUN_HEADER: Final = 'X-Not-Run'
-#: Set by an upstream in need: the requests per second that it accepts from all
+#: Set by an overloaded upstream: the requests per second that it accepts from all
 #: instances together.
 LIMIT_HEADER: Final = 'X-Call-Limit'
 
--- a/chervilstep/queries/throttling.py
+++ b/chervilstep/queries/throttling.py
@@ -46,11 +46,11 @@
     """
     if known is None:
         return None if received.calls_per_second is None else received
-    if received.asked_at >= known.heard_at:
+    if received.requested_at >= known.received_at:
         return received
-    if received.heard_at <= known.asked_at:
+    if received.received_at <= known.requested_at:
         return known
-    is_newer = received.heard_at > known.heard_at
+    is_newer = received.received_at > known.received_at
     if _strictness(received) == _strictness(known):
         return received if is_newer else known
     return max(known, received, key=_strictness)
@@ -219,7 +219,7 @@
     evidence = throttle.evidence
     return {
         'limit': evidence.calls_per_second,
-        'age': round(now - evidence.heard_at, 3),
+        'age': round(now - evidence.received_at, 3),
         'source': evidence.source,
         'share': round(throttle.share.calls_per_second, 3),
         'tokens': round(throttle.tokens(now), 2),
--- a/chervilstep/throttles.py
+++ b/chervilstep/throttles.py
@@ -13,23 +13,28 @@
 class LimitEvidence:
     """What is known about the limit of an upstream, from one of its answers.
 
-    The upstream made its statement between ``asked_at`` and ``heard_at``, so
+    The upstream made its statement between ``requested_at`` and ``received_at``, so
     the order of two statements is known only if these times do not overlap.
     """
 
-    __slots__ = ('_asked_at', '_calls_per_second', '_heard_at', '_source')
+    __slots__ = (
+        '_requested_at',
+        '_calls_per_second',
+        '_received_at',
+        '_source',
+    )
 
     def __init__(
         self,
         calls_per_second: float | None,
-        asked_at: Instant,
-        heard_at: Instant,
+        requested_at: Instant,
+        received_at: Instant,
         source: str,
     ) -> None:
-        """Creates the evidence that ``source`` heard from the upstream."""
+        """Creates the evidence that ``source`` received from the upstream."""
         self._calls_per_second = calls_per_second
-        self._asked_at = asked_at
-        self._heard_at = heard_at
+        self._requested_at = requested_at
+        self._received_at = received_at
         self._source = source
 
     @property
@@ -38,18 +43,18 @@
         return self._calls_per_second
 
     @property
-    def asked_at(self) -> Instant:
+    def requested_at(self) -> Instant:
         """When the request was sent whose answer made the statement."""
-        return self._asked_at
+        return self._requested_at
 
     @property
-    def heard_at(self) -> Instant:
+    def received_at(self) -> Instant:
         """When the answer arrived."""
-        return self._heard_at
+        return self._received_at
 
     @property
     def source(self) -> str:
-        """The name of the instance to which the upstream said it."""
+        """The name of the instance that received the answer."""
         return self._source
 
 
--- a/tests/test_limit_shares.py
+++ b/tests/test_limit_shares.py
@@ -12,8 +12,8 @@
     SharingFleet,
     a_limited_fleet,
     allowed_in_window,
-    hear_limit,
     press,
+    receive_limit,
 )
 from tests.virtual_builders import most_in_window
 
@@ -48,7 +48,7 @@
         fleet.kill(name)
         sent += press(fleet, 0.5)
         fleet.start(name)
-        hear_limit(fleet, name, new_stated_limit(limit))
+        receive_limit(fleet, name, new_stated_limit(limit))
         sent += press(fleet, 1)
     sent += press(fleet, 4)
     assert most_in_window(sent, WINDOW_SECONDS) <= allowed_in_window(limit)
--- a/tests/test_limit_updates.py
+++ b/tests/test_limit_updates.py
@@ -9,13 +9,13 @@
 from tests.throttle_builders import (
     UPSTREAM,
     a_limited_fleet,
-    hear_limit,
     known_limit,
+    receive_limit,
     state_limit,
 )
 
 
-def test_restarted_instance_hears_of_limits_from_its_peers():
+def test_restarted_instance_learns_of_limits_from_its_peers():
     fleet = a_limited_fleet(14, 5)
     fleet.kill(fleet.names[-1])
     fleet.start(fleet.names[-1])
@@ -26,7 +26,7 @@
 def test_limit_and_its_end_reach_every_instance():
     fleet = a_limited_fleet(14, 5)
     assert {known_limit(node) for node in fleet.nodes.values()} == {5}
-    hear_limit(fleet, fleet.names[3], NO_LIMIT)
+    receive_limit(fleet, fleet.names[3], NO_LIMIT)
     fleet.run(0.5)
     assert {known_limit(node) for node in fleet.nodes.values()} == {None}
 
@@ -34,7 +34,7 @@
 def test_limit_and_its_end_reach_instances_without_a_direct_stream():
     fleet = a_limited_fleet(150, 5)
     assert {known_limit(node) for node in fleet.nodes.values()} == {5}
-    hear_limit(fleet, fleet.names[3], NO_LIMIT)
+    receive_limit(fleet, fleet.names[3], NO_LIMIT)
     fleet.run(0.5)
     assert {known_limit(node) for node in fleet.nodes.values()} == {None}
 
@@ -43,14 +43,14 @@
     fleet = a_limited_fleet(3, 5)
     fleet.isolate(fleet.names[2])
     fleet.run(1)
-    hear_limit(fleet, fleet.names[0], NO_LIMIT)
+    receive_limit(fleet, fleet.names[0], NO_LIMIT)
     fleet.run(10)
     fleet.heal()
     fleet.run(5)
     assert {known_limit(node) for node in fleet.nodes.values()} == {None}
 
 
-def test_peer_that_ended_a_limit_too_early_is_told_of_it():
+def test_peer_that_ended_a_limit_too_early_is_corrected():
     """Its answer without the limit overlaps a later one with it."""
     fleet = a_limited_fleet(3, 5)
     first, second = fleet.nodes[fleet.names[0]], fleet.nodes[fleet.names[1]]
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -220,7 +220,7 @@
     sender.outbox.clear()
 
 
-def test_restarted_instance_hears_of_requests_in_quarantine():
+def test_restarted_instance_learns_of_requests_in_quarantine():
     known, restarted = an_unlimited_node(), an_unlimited_node()
     ticket = a_poison_ticket()
     lose_upstream(known, ticket, 'strike-1')
@@ -237,7 +237,7 @@
     assert not restarted.quarantine.by_customer
 
 
-def test_restarted_instance_hears_of_the_first_loss():
+def test_restarted_instance_learns_of_the_first_loss():
     known, restarted = an_unlimited_node(), an_unlimited_node()
     ticket = a_poison_ticket()
     lose_upstream(known, ticket, 'strike-1')
--- a/tests/test_throttling.py
+++ b/tests/test_throttling.py
@@ -210,7 +210,9 @@
     node = a_fully_limited_node(0.5)
     explanation = explain(node, 'GET', '/strike/1', 'fletcher', 1)
     assert 'accepts 0.5 requests/s' in explanation.steps[-1]
-    assert 'entry-1 heard 1 s ago' in explanation.steps[-1].replace('1.0', '1')
+    assert 'received by entry-1 1 s ago' in explanation.steps[-1].replace(
+        '1.0', '1'
+    )
 
 
 def test_limited_upstream_without_a_token_is_not_chosen():
--- a/tests/throttle_builders.py
+++ b/tests/throttle_builders.py
@@ -36,11 +36,16 @@
 
 
 def state_limit(
-    node, stated, asked_at, heard_at, upstream=UPSTREAM, ending=Ending.ANSWERED
+    node,
+    stated,
+    requested_at,
+    received_at,
+    upstream=UPSTREAM,
+    ending=Ending.ANSWERED,
 ):
     """Ends an attempt whose answer states a limit."""
-    attempt = an_attempt(upstream=upstream, now=asked_at)
-    outcome = Outcome(ending, Verdict.RAN, heard_at, stated_limit=stated)
+    attempt = an_attempt(upstream=upstream, now=requested_at)
+    outcome = Outcome(ending, Verdict.RAN, received_at, stated_limit=stated)
     record_answered_limit(node, attempt, outcome)
 
 
@@ -87,12 +92,12 @@
         size, a_snapshot(), seed, ticks=(*PEER_TICKS, *LIMIT_TICKS)
     )
     fleet.run(3)
-    hear_limit(fleet, fleet.names[0], new_stated_limit(limit))
+    receive_limit(fleet, fleet.names[0], new_stated_limit(limit))
     fleet.run(0.5)
     return fleet
 
 
-def hear_limit(fleet, name, stated):
+def receive_limit(fleet, name, stated):
     """Makes an instance hear of a limit in the answer to a request."""
     state_limit(fleet.nodes[name], stated, fleet.now - 0.01, fleet.now)
 
