--- a/review/4/case.py
+++ b/review/4/case.py
@@ -59,7 +59,7 @@
     """Removes a server while one machine restarts and the other is cut off."""
     config = stand.new_config(SERVICE, 'unsafe', SLO_S, TIMEOUT_S)
     await world.start_store(config)
-    await world.add_servers(SERVICE, ZONE, 4, WORK_S)
+    await world.add_servers(SERVICE, ZONE, 5, WORK_S)
     await world.start_machines(ZONE, 2)
     restarted, cut = world.machines
     leaving = world.servers[0]
