Check the fields of stored items instead of converting them

Cause: the decoder of the store's items took text, booleans and fractions for numbers and filled in fields that were missing, so an entry that names no server was used.

Change: chervilstep/platform/fields.py decides for every decoder what a field must be, without conversion and bounded. An odd item no longer hides the others of an answer. Refusals are counted, and logged once in ten seconds a key.

Looked for elsewhere: configuration, evacuations, keys, revisions and values of the store's items.

--- a/chervilstep/commands/replica.py
+++ b/chervilstep/commands/replica.py
@@ -29,6 +29,9 @@
 #: well below the largest frame. The next query returns the rest.
 MAX_MESSAGE_ITEMS: Final = 200
 MAX_MESSAGE_BYTES: Final = 512 * 1024
+#: Another process may write an invalid value many times a second. One line for
+#: each key in this time is logged; the counter has them all.
+REFUSAL_LOG_SECONDS: Final = 10.0
 
 #: A key, its revision, and its value, or None for a deleted key.
 ItemEntry: TypeAlias = tuple[str, int, bytes | None]
@@ -196,13 +199,22 @@
     try:
         ITEM_READERS.find(kind)(node, item, now)
     except ItemError as fault:
-        node.counters.add('store_items_refused')
-        node.events.add(
-            'item_refused',
-            key=item.key,
-            revision=item.revision,
-            fault=str(fault),
-        )
+        _record_refusal(node, item, str(fault), now)
+
+
+def _record_refusal(
+    node: Node, item: StoredItem, fault: str, now: Instant
+) -> None:
+    node.counters.add('store_items_refused')
+    logged_until = node.replica.refusals_logged.get(item.key)
+    if logged_until is not None and not logged_until.has_passed(now):
+        return
+    node.replica.record_refusal(
+        item.key, new_deadline(now, REFUSAL_LOG_SECONDS)
+    )
+    node.events.add(
+        'item_refused', key=item.key, revision=item.revision, fault=fault
+    )
 
 
 def _decode_item(entry: ItemEntry) -> StoredItem:
--- a/chervilstep/platform/decoding.py
+++ b/chervilstep/platform/decoding.py
@@ -5,8 +5,9 @@
 
 import contextlib
 import json
+import re
 from collections.abc import Iterator, Mapping
-from typing import Any, Final, TypeAlias
+from typing import Final
 
 from chervilstep.catalog import (
     ClientLimits,
@@ -15,14 +16,11 @@
     UpstreamEntry,
 )
 from chervilstep.exceptions import ItemError
+from chervilstep.platform import fields
 from chervilstep.queries.headers import digest_key
-from chervilstep.queries.tables import is_address
 from chervilstep.services import ColdStart, Upstream, UpstreamState
 from chervilstep.snapshot import Customer, Priority, Route, RouteOptions
 
-#: A decoded JSON object.
-Table: TypeAlias = Mapping[str, Any]
-
 #: The kind of routes whose requests may run more than once.
 SAFE_KIND: Final = 'safe'
 #: Errors of decoding a value that does not have the expected form.
@@ -36,8 +34,12 @@
     RecursionError,
 )
 VERSION_BASE: Final = 16
-#: The slots of a server whose entry states less than one.
-MIN_SLOTS: Final = 1
+#: A server runs one request at a time on a connection, and a caller has no more
+#: ports than this for connections to one address.
+MAX_SLOTS: Final = 65535
+#: Far more requests per second than a deployment gets.
+MAX_RATE: Final = 10**9
+_VERSION_PATTERN: Final = re.compile('[0-9a-fA-F]{1,15}')
 
 
 def decode_config(value: bytes) -> PlatformConfig:
@@ -69,61 +71,74 @@
         raise ItemError(f'{type(fault).__name__}: {fault}') from fault
 
 
-def _parse_table(value: bytes) -> Table:
-    table = json.loads(value)
-    if not isinstance(table, dict):
-        raise TypeError('the value is not a JSON object')
-    return table
+def _parse_table(value: bytes) -> fields.Table:
+    return fields.require_table(json.loads(value))
 
 
-def _platform_config(table: Table) -> PlatformConfig:
-    customers = [_customer(each) for each in table.get('tenants', ())]
+def _platform_config(table: fields.Table) -> PlatformConfig:
+    customers = [
+        _customer(fields.require_table(each))
+        for each in fields.require_list(table.get('tenants') or [])
+    ]
     customer_names = [customer.name for customer in customers]
     routes = [
-        _route(_text(listener['host']), rule, customer_names)
-        for listener in table['listeners']
-        for rule in listener['ruleSet']
+        _route(fields.require_text(listener['host']), rule, customer_names)
+        for listener in fields.require_list(table['listeners'])
+        for rule in fields.require_list(listener['ruleSet'])
     ]
     return PlatformConfig(
-        int(table['version'], VERSION_BASE),
+        _version(table['version']),
         routes,
-        [_service_config(each) for each in table['clusters']],
+        [
+            _service_config(each)
+            for each in fields.require_list(table['clusters'])
+        ],
         customers,
         _client_limits(table['limits']),
     )
 
 
-def _client_limits(table: Table) -> ClientLimits:
+def _version(field: object) -> int:
+    text = fields.require_name(field)
+    if not _VERSION_PATTERN.fullmatch(text):
+        raise ValueError('the version is not a hexadecimal number')
+    return int(text, VERSION_BASE)
+
+
+def _client_limits(table: fields.Table) -> ClientLimits:
     return ClientLimits(
-        int(table['maxHeaderBytes']),
-        int(table['maxBodyBytes']),
-        float(table['headerTimeoutS']),
-        float(table['idleTimeoutS']),
+        fields.require_integer(table['maxHeaderBytes'], 0, fields.MAX_INTEGER),
+        fields.require_integer(table['maxBodyBytes'], 0, fields.MAX_INTEGER),
+        _seconds(table['headerTimeoutS']),
+        _seconds(table['idleTimeoutS']),
     )
 
 
-def _customer(table: Table) -> Customer:
+def _customer(table: fields.Table) -> Customer:
     priority = table.get('priority')
     return Customer(
-        _require_text(table['name']),
-        float(table.get('ratePerS') or 0),
-        float(table.get('burst') or 0),
-        [digest_key(key) for key in table.get('apiKeys', ())],
+        fields.require_name(table['name']),
+        _rate(table.get('ratePerS') or 0),
+        _rate(table.get('burst') or 0),
+        [
+            digest_key(fields.require_text(key))
+            for key in fields.require_list(table.get('apiKeys') or [])
+        ],
         None if priority is None else _priority(priority),
     )
 
 
-def _route(host: str, rule: Table, customers: list[str]) -> Route:
+def _route(host: str, rule: fields.Table, customers: list[str]) -> Route:
     action = rule['action']
     weighted = action.get('weightedServices') or [
         {'service': action['service'], 'weight': 1}
     ]
     weighted_routes = [
         (
-            float(each['weight']),
+            fields.require_number(each['weight'], 0, MAX_RATE),
             _route_to_service(host, rule, each['service'], customers),
         )
-        for each in weighted
+        for each in fields.require_list(weighted)
     ]
     first = weighted_routes[0][1]
     return (
@@ -134,86 +149,88 @@
 
 
 def _route_to_service(
-    host: str, rule: Table, service: str, customers: list[str]
+    host: str, rule: fields.Table, service: str, customers: list[str]
 ) -> Route:
     action = rule['action']
     options = RouteOptions(
         host,
-        int(action.get('maxAttempts') or 1),
-        float(rule['sloS']) if 'sloS' in rule else None,
+        fields.require_integer(
+            action.get('maxAttempts') or 1, 1, fields.MAX_INTEGER
+        ),
+        _seconds(rule['sloS']) if 'sloS' in rule else None,
     )
     route = Route(
-        _require_text(rule['name']),
-        _text(rule['match']['prefix']),
-        _require_text(service),
+        fields.require_name(rule['name']),
+        fields.require_text(rule['match']['prefix']),
+        fields.require_name(service),
         methods=(),
         idempotent=ALL_METHODS if rule['kind'] == SAFE_KIND else (),
         customers=customers,
         # Without customers there are no keys that a route could require.
-        is_open=bool(rule.get('public')) or not customers,
+        is_open=fields.require_flag(rule.get('public') or False)
+        or not customers,
         priority=_priority(rule.get('priority') or 0),
-        timeout_seconds=float(action['timeoutS']),
+        timeout_seconds=_seconds(action['timeoutS']),
     )
     return route.with_options(options)
 
 
-def _service_config(table: Table) -> ServiceConfig:
-    cold_seconds = float(table.get('coldStartS') or 0)
+def _service_config(table: fields.Table) -> ServiceConfig:
+    cold_seconds = _seconds(table.get('coldStartS') or 0)
     cold_start = None
     if cold_seconds:
         # The number of requests per second that a cold server can handle.
-        cold_start = ColdStart(cold_seconds, float(table['coldPerS']))
+        cold_start = ColdStart(cold_seconds, _rate(table['coldPerS']))
     return ServiceConfig(
-        _require_text(table['name']),
-        _text(table.get('healthPath') or ''),
+        fields.require_name(table['name']),
+        fields.require_text(table.get('healthPath') or ''),
         cold_start,
     )
 
 
-def _upstream_entry(identity: str, table: Table) -> UpstreamEntry:
-    info = table['info']
-    status = table['status']
-    started_ms = table.get('born')
-    if started_ms is not None and not isinstance(started_ms, int):
-        raise TypeError('the field born is not an integer')
-    name = identity if started_ms is None else f'{identity}/{started_ms}'
+def _upstream_entry(identity: str, table: fields.Table) -> UpstreamEntry:
+    info = fields.require_table(table['info'])
+    status = fields.require_table(table['status'])
+    # The counter and the version of the software are not used. An entry without
+    # them was not written by a server.
+    fields.require_integer(status['seqNo'], 0, fields.MAX_INTEGER)
+    fields.require_name(info['version'])
     upstream = Upstream(
-        name,
-        _require_address(table['address']),
-        _require_text(info['zone']),
-        max(MIN_SLOTS, int(info['slots'])),
-        _UPSTREAM_STATES[status['state']],
+        _upstream_name(fields.require_token(identity), table),
+        fields.require_address(table['address']),
+        fields.require_name(info['zone']),
+        fields.require_integer(info['slots'], 1, MAX_SLOTS),
+        _UPSTREAM_STATES[fields.require_name(status['state'])],
         identity,
     )
     return UpstreamEntry(
-        _require_text(info['service']),
+        fields.require_name(info['service']),
         upstream,
-        float(status.get('coldLeftS') or 0),
+        _seconds(status['coldLeftS']),
     )
 
 
-def _text(field: object) -> str:
-    if not isinstance(field, str):
-        raise TypeError('a field is not a string')
-    return field
+def _upstream_name(identity: str, table: fields.Table) -> str:
+    """Returns a name that differs between two starts of one server."""
+    if 'born' not in table:
+        return identity
+    started_ms = fields.require_integer(table['born'], 0, fields.MAX_INTEGER)
+    return f'{identity}/{started_ms}'
 
 
-def _require_text(field: object) -> str:
-    text = _text(field)
-    if not text:
-        raise ValueError('a required field is empty')
-    return text
+def _seconds(field: object) -> float:
+    return fields.require_number(field, 0, fields.MAX_SECONDS)
 
 
-def _require_address(field: object) -> str:
-    text = _require_text(field)
-    if not is_address(text):
-        raise ValueError('an address is not an IP address and a port')
-    return text
+def _rate(field: object) -> float:
+    return fields.require_number(field, 0, MAX_RATE)
 
 
-def _priority(rank: int) -> Priority:
-    return Priority(min(max(int(rank), Priority.URGENT), Priority.BULK))
+def _priority(field: object) -> Priority:
+    rank = fields.require_integer(
+        field, -fields.MAX_INTEGER, fields.MAX_INTEGER
+    )
+    return Priority(min(max(rank, Priority.URGENT), Priority.BULK))
 
 
 ALL_METHODS: Final = (
--- a/chervilstep/platform/source.py
+++ b/chervilstep/platform/source.py
@@ -14,7 +14,7 @@
 )
 from chervilstep.exceptions import SettingsError, StoreError
 from chervilstep.node import Node
-from chervilstep.platform.store import new_store_client
+from chervilstep.platform.store import StoreItems, new_store_client
 from chervilstep.queries.tables import is_address
 
 #: How long a watch waits for a change. Longer waits mean fewer calls, which the
@@ -91,6 +91,7 @@
             listing = await self._client.list_all()
             now = time.monotonic()
             record_store_answer(self._node, now)
+            self._record_skipped(listing)
             apply_listing(self._node, listing.items, listing.as_of, now)
             self._has_listing = True
             return
@@ -102,7 +103,13 @@
         changes = await self._client.watch(replica.as_of, wait_seconds)
         now = time.monotonic()
         record_store_answer(self._node, now)
+        self._record_skipped(changes)
         apply_items(self._node, changes.items, changes.as_of, now)
         if changes.items:
             # More changes often follow; the next call returns all of them.
             await asyncio.sleep(COALESCE_SECONDS)
+
+    def _record_skipped(self, answer: StoreItems) -> None:
+        if answer.skipped:
+            self._node.counters.add('store_items_refused')
+            self._node.events.add('items_skipped', items=answer.skipped)
--- a/chervilstep/platform/store.py
+++ b/chervilstep/platform/store.py
@@ -8,6 +8,7 @@
 
 from chervilstep.adapters.keepalive import KeepAliveClient
 from chervilstep.exceptions import FetchError, StoreError
+from chervilstep.platform import fields
 from chervilstep.platform.decoding import DECODE_ERRORS
 from chervilstep.replica import StoredItem
 from chervilstep.types import MS_PER_SECOND
@@ -26,7 +27,7 @@
 class StoreItems:
     """Items of the store, complete up to a revision."""
 
-    __slots__ = ('_as_of', '_has_more', '_items')
+    __slots__ = ('_as_of', '_has_more', '_items', '_skipped')
 
     def __init__(
         self,
@@ -34,8 +35,10 @@
         as_of: int,
         *,
         has_more: bool = False,
+        skipped: int = 0,
     ) -> None:
         """Creates an answer, or one page of a listing."""
+        self._skipped = skipped
         self._has_more = has_more
         self._items = tuple(items)
         self._as_of = as_of
@@ -45,6 +48,11 @@
         """The items, in the order in which the store sent them."""
         return self._items
 
+    @property
+    def skipped(self) -> int:
+        """The number of items left out, whose key or revision is invalid."""
+        return self._skipped
+
     @property
     def has_more(self) -> bool:
         """Whether another page follows."""
@@ -78,10 +86,12 @@
         page = await self._get_page('')
         items = list(page.items)
         as_of = page.as_of
+        skipped = page.skipped
         while page.has_more:
             page = await self._get_page(items[-1].key)
             items.extend(page.items)
-        return StoreItems(items, as_of)
+            skipped += page.skipped
+        return StoreItems(items, as_of, skipped=skipped)
 
     async def watch(self, after: int, wait_seconds: float) -> StoreItems:
         """Waits for items that change after the revision ``after``.
@@ -140,29 +150,54 @@
 
 
 def _decode_items(table: dict[str, Any]) -> StoreItems:
-    entries = table.get('events', table.get('items', ()))
     try:
-        return StoreItems(
-            map(_decode_item, entries),
-            int(table['asOf']),
-            has_more=bool(table.get('hasMore')),
-        )
+        return _store_items(table)
     except DECODE_ERRORS as fault:
         raise StoreError(
             f'cannot decode the items of the store: {fault}'
         ) from fault
 
 
-def _decode_item(table: dict[str, Any]) -> StoredItem:
-    if table.get('deleted'):
-        return StoredItem(table['key'], int(table['revision']), None)
-    return StoredItem(
-        table['key'],
-        int(table['revision']),
-        base64.b64decode(table['value'], validate=True),
+def _store_items(table: dict[str, Any]) -> StoreItems:
+    entries = table.get('events', table.get('items', []))
+    items = [_try_decode_item(entry) for entry in fields.require_list(entries)]
+    sound = [item for item in items if item is not None]
+    return StoreItems(
+        sound,
+        fields.require_integer(table['asOf'], 0, fields.MAX_INTEGER),
+        has_more=bool(table.get('hasMore')),
+        skipped=len(items) - len(sound),
     )
 
 
+def _try_decode_item(entry: object) -> StoredItem | None:
+    """Returns an item, or None if its key or its revision is invalid.
+
+    Any process can write to the store, so one odd item must not hide the
+    others.
+    """
+    try:
+        return _decode_item(fields.require_table(entry))
+    except DECODE_ERRORS:
+        return None
+
+
+def _decode_item(table: fields.Table) -> StoredItem:
+    key = fields.require_name(table['key'])
+    revision = fields.require_integer(table['revision'], 0, fields.MAX_INTEGER)
+    if table.get('deleted'):
+        return StoredItem(key, revision, None)
+    return StoredItem(key, revision, _decode_value(table.get('value')))
+
+
+def _decode_value(encoded: object) -> bytes:
+    """Returns the decoded value, or an empty one, which no reader accepts."""
+    try:
+        return base64.b64decode(fields.require_string(encoded), validate=True)
+    except DECODE_ERRORS:
+        return b''
+
+
 def new_store_client(address: str) -> StoreClient:
     """Creates a client without a connection."""
     return StoreClient(address)
--- a/chervilstep/replica.py
+++ b/chervilstep/replica.py
@@ -44,6 +44,7 @@
         '_items',
         '_postponed',
         '_postponed_until',
+        '_refusals_logged',
         '_unavailable_since',
     )
 
@@ -55,6 +56,7 @@
         self._unavailable_since: Instant | None = None
         self._postponed_until: Deadline | None = None
         self._postponed: dict[str, StoredItem] = {}
+        self._refusals_logged: dict[str, Deadline] = {}
 
     @property
     def items(self) -> Mapping[str, StoredItem]:
@@ -86,6 +88,11 @@
         """The deletions that are not applied yet, by key."""
         return self._postponed
 
+    @property
+    def refusals_logged(self) -> Mapping[str, Deadline]:
+        """Until when further refusals of a key are not logged."""
+        return self._refusals_logged
+
     def enable(self) -> None:
         """Records that this instance reads a store."""
         self._is_enabled = True
@@ -94,6 +101,8 @@
         """Stores an item, which must be newer than the present one."""
         self._items[item.key] = item
         self._postponed.pop(item.key, None)
+        if item.value is None:
+            self._refusals_logged.pop(item.key, None)
 
     def postpone(self, item: StoredItem) -> None:
         """Stores a deletion to be applied later."""
@@ -103,6 +112,10 @@
         """Records that the replica is complete up to a revision."""
         self._as_of = max(self._as_of, as_of)
 
+    def record_refusal(self, key: str, logged_until: Deadline) -> None:
+        """Records that a refusal of a key was logged."""
+        self._refusals_logged[key] = logged_until
+
     def record_outage(self, now: Instant) -> None:
         """Records that the store is unavailable."""
         if self._unavailable_since is None:
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -76,6 +76,27 @@
     }
 
 
+def a_changed_entry(path, field):
+    """Returns a server's entry with another value of the field at ``path``."""
+    entry = a_server_entry(born=1700)
+    table = entry
+    *parents, name = path.split('.')
+    for parent in parents:
+        table = table[parent]
+    table[name] = field
+    return entry
+
+
+def an_entry_without(path):
+    entry = a_changed_entry(path, None)
+    table = entry
+    *parents, name = path.split('.')
+    for parent in parents:
+        table = table[parent]
+    del table[name]
+    return entry
+
+
 def encode_json(table):
     return json.dumps(table).encode()
 
@@ -104,6 +125,9 @@
 
     def put(self, key, table):
         text = None if table is None else json.dumps(table)
+        self.put_text(key, text)
+
+    def put_text(self, key, text):
         self.platform.put(key, text)
 
     def inject_fault(self, fault, argument=''):
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -14,9 +14,11 @@
 from tests.platform_builders import (
     HOST,
     KEY,
+    a_changed_entry,
     a_configuration,
     a_rule,
     a_server_entry,
+    an_entry_without,
     encode_json,
 )
 
@@ -167,3 +169,143 @@
             decode(content)
         except ItemError:
             continue
+
+
+#: Values that another process may write in the place of a number.
+NO_NUMBERS: tuple[object, ...] = (
+    '7',
+    True,
+    None,
+    [3],
+    {},
+    -1,
+    10**29,
+    float('inf'),
+    float('nan'),
+    '1000000000',
+)
+#: Values that another process may write in the place of a name.
+NO_NAMES: tuple[object, ...] = (
+    '',
+    5,
+    True,
+    None,
+    ['akl'],
+    'a\nb',
+    'a\r\nX-Tenant-Id: other',
+    '\ud800',
+    'x' * 100_000,
+)
+
+
+@pytest.mark.parametrize('field', (*NO_NUMBERS, 0, 2.5, 10**9))
+def test_slots_are_a_bounded_integer(field):
+    """Guards against slots as text, over which every instance looped."""
+    entry = a_changed_entry('info.slots', field)
+    with pytest.raises(ItemError):
+        decode_upstream_entry('i-1', encode_json(entry))
+
+
+@pytest.mark.parametrize('field', (*NO_NUMBERS, 2.5))
+@pytest.mark.parametrize('path', ['status.seqNo', 'born'])
+def test_counts_of_an_entry_are_integers(path, field):
+    entry = a_changed_entry(path, field)
+    with pytest.raises(ItemError):
+        decode_upstream_entry('i-1', encode_json(entry))
+
+
+@pytest.mark.parametrize('field', (*NO_NUMBERS, 1e300))
+def test_cold_time_is_a_bounded_number(field):
+    entry = a_changed_entry('status.coldLeftS', field)
+    with pytest.raises(ItemError):
+        decode_upstream_entry('i-1', encode_json(entry))
+
+
+@pytest.mark.parametrize('field', NO_NAMES)
+@pytest.mark.parametrize(
+    'path', ['info.service', 'info.zone', 'info.version', 'status.state']
+)
+def test_names_of_an_entry_are_short_printable_texts(path, field):
+    entry = a_changed_entry(path, field)
+    with pytest.raises(ItemError):
+        decode_upstream_entry('i-1', encode_json(entry))
+
+
+@pytest.mark.parametrize(
+    'path',
+    [
+        'address',
+        'info',
+        'info.service',
+        'info.version',
+        'info.zone',
+        'info.slots',
+        'status',
+        'status.state',
+        'status.seqNo',
+        'status.coldLeftS',
+    ],
+)
+def test_entry_without_a_field_is_refused(path):
+    """Guards against a partial entry that sent requests to another service."""
+    with pytest.raises(ItemError):
+        decode_upstream_entry('i-1', encode_json(an_entry_without(path)))
+
+
+@pytest.mark.parametrize(
+    'address',
+    [
+        '127.0.0.1:0',
+        '127.0.0.1:00080',
+        '127.0.0.1:-1',
+        '127.0.0.1:70000',
+        '127.0.0.1:8080x',
+        '127.0.0.1: 80',
+        '0.0.0.0:80',
+        '224.0.0.1:80',
+        '[::1%a\r\nX-Tenant-Id: other]:80',
+        ['127.0.0.1:80'],
+    ],
+)
+def test_address_is_that_of_one_host(address):
+    entry = a_server_entry(address=address)
+    with pytest.raises(ItemError):
+        decode_upstream_entry('i-1', encode_json(entry))
+
+
+@pytest.mark.parametrize(
+    'identity', ['', 'i-1\r\nX-Tenant-Id: other', 'i-\xe9', 'i' * 1000]
+)
+def test_identity_is_a_header_value(identity):
+    with pytest.raises(ItemError):
+        decode_upstream_entry(identity, encode_json(a_server_entry()))
+
+
+def test_largest_sound_entry_is_decoded():
+    entry = a_changed_entry('info.slots', 65535)
+    entry['status'].update(seqNo=2**63 - 1, coldLeftS=10**6)
+    decoded = decode_upstream_entry('i-1', encode_json(entry))
+    assert decoded.upstream.slots == 65535
+    assert decoded.cold_seconds == 10**6
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'version': '0x0c'},
+        {'version': ' 12'},
+        {'version': 'f' * 16},
+        {'rules': [a_rule(sloS='0.2')]},
+        {'rules': [a_rule(sloS=float('nan'))]},
+        {'rules': [a_rule(public='no')]},
+        {'rules': [a_rule(priority='0')]},
+        {'rules': [a_rule(name='\ud800')]},
+        {'tenants': [{'name': 'cuka620', 'ratePerS': float('inf')}]},
+        {'tenants': [{'name': 'cuka620', 'burst': '77'}]},
+        {'tenants': [{'name': 'cuka620', 'apiKeys': ['\ud800']}]},
+        {'clusters': [{'name': 'huvo11a', 'coldStartS': True}]},
+    ],
+)
+def test_fields_of_a_configuration_are_not_converted(changes):
+    with pytest.raises(ItemError):
+        decode_config(encode_json(a_configuration(**changes)))
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -20,6 +20,7 @@
 from chervilstep.queries.soonest import SOONEST
 from tests.builders import a_settings
 from tests.platform_builders import (
+    a_changed_entry,
     a_configuration,
     a_rule,
     a_server_entry,
@@ -195,3 +196,22 @@
         handle_replica_items(
             a_replica_node(), 'entry-2', ReplicaItems([entry], 5), 0
         )
+
+
+def test_repeated_refusals_of_a_key_are_logged_once_in_a_while():
+    node = a_configured_node()
+    for revision in range(4, 104):
+        odd = a_stored_item('servers/i-2', {}, revision)
+        apply_items(node, [odd], revision, revision / 100)
+    assert node.counters.total('store_items_refused') == 100
+    names = [event.name for event in node.events.pending]
+    assert names.count('item_refused') == 1
+
+
+def test_odd_entry_of_a_listed_server_removes_it_until_the_next_one():
+    node = a_configured_node()
+    odd = a_changed_entry('info.slots', '1000000000')
+    apply_items(node, [a_stored_item(SERVER_KEY, odd, 4)], 4, 0)
+    assert not upstream_names(node)
+    apply_items(node, [a_stored_item(SERVER_KEY, a_server_entry(), 5)], 5, 0)
+    assert upstream_names(node) == ['i-1']
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -1,6 +1,7 @@
 """Tests of the store client and the store source against a stand-in."""
 
 import asyncio
+import base64
 import contextlib
 
 import pytest
@@ -10,7 +11,14 @@
 from chervilstep.platform.source import StoreSource
 from chervilstep.platform.store import new_store_client
 from tests.builders import a_settings
-from tests.platform_builders import a_configuration, a_server_entry, a_store
+from tests.platform_builders import (
+    a_changed_entry,
+    a_configuration,
+    a_server_entry,
+    a_store,
+    encode_json,
+)
+from tests.wire_builders import a_raw_upstream
 
 TEST_TIMEOUT_SECONDS = 10
 
@@ -186,3 +194,77 @@
             return store.read_count
 
     assert asyncio.run(scenario()) < 15
+
+
+def test_odd_items_do_not_hide_the_others():
+    """Guards against an odd item for which every answer was refused."""
+    entry = base64.b64encode(encode_json(a_server_entry())).decode()
+    body = encode_json(
+        {
+            'items': [
+                {'key': 'servers/i-1', 'revision': 2, 'value': entry},
+                {'key': 'servers/i-2', 'revision': 3, 'value': 'no base64'},
+                {'key': 'servers/i-3', 'revision': 4, 'value': None},
+                {'key': 'servers/\ud800', 'revision': 5, 'value': entry},
+                {'key': 'servers/i-5', 'revision': '6', 'value': entry},
+                {'key': 'servers/i-6', 'revision': 2**64, 'value': entry},
+                {'key': ['servers'], 'revision': 8, 'value': entry},
+                'servers/i-8',
+                {'key': 'servers/i-9', 'revision': 9, 'deleted': True},
+            ],
+            'hasMore': False,
+            'asOf': 9,
+        }
+    )
+    head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body)
+
+    async def scenario():
+        async with a_raw_upstream(head + body) as (_, upstream):
+            client = new_store_client(upstream.address)
+            with contextlib.closing(client):
+                return await client.list_all()
+
+    listing = asyncio.run(scenario())
+    assert [(item.key, item.value) for item in listing.items] == [
+        ('servers/i-1', encode_json(a_server_entry())),
+        ('servers/i-2', b''),
+        ('servers/i-3', b''),
+        ('servers/i-9', None),
+    ]
+    assert listing.skipped == 5
+    assert listing.as_of == 9
+
+
+ODD_ENTRIES = (
+    b'[' * 100_000,
+    b'{"info": ' + b'[' * 100_000,
+    b'{"born": ' + b'9' * 10_000 + b'}',
+    encode_json(a_changed_entry('info.slots', 10**29)),
+    encode_json(a_changed_entry('status.coldLeftS', float('nan'))),
+    encode_json(a_changed_entry('info.zone', '\ud800')),
+    encode_json(a_server_entry(address='127.0.0.1:70000')),
+)
+
+
+def test_source_follows_the_store_past_odd_entries():
+    """Guards against entries that ended instances or their watch."""
+
+    async def scenario():
+        async with a_store_with_a_node() as (store, node):
+            for index, entry in enumerate(ODD_ENTRIES):
+                store.put_text(f'servers/odd-{index}', entry.decode())
+            store.put('servers/i-1', a_server_entry())
+            await wait_until(
+                lambda: node.snapshot.services['huvo11a'].upstreams
+            )
+            assert not node.counters.total_over_labels('store_failures')
+            # All of them come again with the next listing.
+            store.inject_fault('compact')
+            store.put('servers/i-1', a_server_entry(state='draining'))
+            await wait_until(
+                lambda: (
+                    node.snapshot.services['huvo11a'].upstreams[0].is_leaving
+                )
+            )
+
+    asyncio.run(scenario())
