Bound the work of assigning the slots of an upstream

Cause: slot_assignment dealt every slot of every upstream one by one.

Change: it deals 64 of an upstream; slots beyond go to the same instances again. Assignments of upstreams with up to 63 slots are the same as before.

--- a/chervilstep/commands/loads.py
+++ b/chervilstep/commands/loads.py
@@ -5,7 +5,7 @@
 from chervilstep.calls import Attempt, Ending, Outcome
 from chervilstep.hooks import ATTEMPT_END_HOOKS, ATTEMPT_START_HOOKS, every
 from chervilstep.node import Node
-from chervilstep.queries.assignment import own_slots
+from chervilstep.queries.assignment import own_slot_count
 from chervilstep.queries.health import configured_upstreams
 from chervilstep.queries.outcomes import is_failure
 from chervilstep.queries.slowstart import is_service_full
@@ -73,7 +73,10 @@
     The limit does not fall below the number of assigned slots: while every
     instance stays within its assigned slots, no upstream is overloaded.
     """
-    assigned = sum(len(each) for each in own_slots(node, service, now).values())
+    assigned = sum(
+        own_slot_count(node, service, upstream, now)
+        for upstream in service.upstreams
+    )
     next_decrease = new_deadline(now, DECREASE_PERIOD_SECONDS)
     load = node.loads.service_load(service.name, INITIAL_LIMIT)
     load.lower_limit(
--- a/chervilstep/queries/policies.py
+++ b/chervilstep/queries/policies.py
@@ -12,7 +12,11 @@
 from chervilstep.hooks import POLICIES
 from chervilstep.loads import UpstreamLoad
 from chervilstep.node import Node
-from chervilstep.queries.assignment import own_slots
+from chervilstep.queries.assignment import (
+    SlotShare,
+    max_in_flight,
+    own_slots,
+)
 from chervilstep.queries.slowstart import own_open_slots
 from chervilstep.services import Service, Upstream
 from chervilstep.types import Instant
@@ -84,6 +88,10 @@
     if load is not None and load.in_flight >= load.limit:
         return None
     slots = own_slots(node, service, now)
+    counts = {
+        upstream: slots[upstream.name].count_below(max_in_flight(upstream))
+        for upstream in usable
+    }
     return _pick_best(
         node,
         {
@@ -92,8 +100,8 @@
                 upstream,
                 slots[upstream.name],
                 now,
-                preferred=len(slots[upstream.name]),
-                limit=len(slots[upstream.name]) + EXTRA_REQUESTS,
+                preferred=counts[upstream],
+                limit=counts[upstream] + EXTRA_REQUESTS,
             )
             for upstream in usable
         },
@@ -139,7 +147,7 @@
 def _has_open_slot(
     node: Node,
     upstream: Upstream,
-    slots: tuple[int, ...],
+    slots: SlotShare,
     in_flight: int,
     now: Instant,
 ) -> bool:
@@ -152,7 +160,7 @@
 def _rank_upstream(
     node: Node,
     upstream: Upstream,
-    slots: tuple[int, ...],
+    slots: SlotShare,
     now: Instant,
     *,
     preferred: int,
--- a/chervilstep/queries/slowstart.py
+++ b/chervilstep/queries/slowstart.py
@@ -5,6 +5,8 @@
 
 from chervilstep.node import Node
 from chervilstep.queries.assignment import (
+    NO_SLOTS,
+    SlotShare,
     live_instances,
     own_slots,
     rendezvous_instance,
@@ -46,21 +48,20 @@
     record = node.slow_start.by_upstream.get(upstream.name)
     if record is not None and record.is_warm(now):
         return True
-    slot_numbers = own_slots(node, service, now).get(upstream.name, ())
+    share = own_slots(node, service, now).get(upstream.name, NO_SLOTS)
     in_flight = node.loads.in_flight(upstream.name)
-    return in_flight < own_open_slots(record, slot_numbers, now)
+    return in_flight < own_open_slots(record, share, now)
 
 
 def own_open_slots(
-    record: SlowStart | None, slot_numbers: tuple[int, ...], now: Instant
+    record: SlowStart | None, share: SlotShare, now: Instant
 ) -> int:
-    """Returns how many of this instance's ``slot_numbers`` are open."""
+    """Returns how many slots of this instance's ``share`` are open."""
     if record is None:
-        return sum(number < COLD_SLOTS for number in slot_numbers)
+        return share.count_below(COLD_SLOTS)
     if record.is_closed(now):
         return 0
-    total = record.open_slots(now)
-    return sum(number < total for number in slot_numbers)
+    return share.count_below(record.open_slots(now))
 
 
 def is_slow_start_leader(
@@ -70,7 +71,8 @@
 
     That is the instance to which the lowest slot is assigned.
     """
-    return 0 in own_slots(node, service, now).get(upstream.name, ())
+    share = own_slots(node, service, now).get(upstream.name, NO_SLOTS)
+    return share.count_below(1) > 0
 
 
 def may_eject(node: Node, service: Service, now: Instant) -> bool:
--- a/lab/candidates.py
+++ b/lab/candidates.py
@@ -2,7 +2,7 @@
 
 from chervilstep.hooks import POLICIES
 from chervilstep.node import Node
-from chervilstep.queries.assignment import own_slots
+from chervilstep.queries.assignment import own_slot_count
 from chervilstep.services import Service, Upstream
 from chervilstep.types import Instant
 
@@ -26,12 +26,11 @@
     node: Node, service: Service, usable: tuple[Upstream, ...], now: Instant
 ) -> Upstream | None:
     """Picks assigned slots first, regardless of limits and slow start."""
-    assigned = own_slots(node, service, now)
 
     def rank(upstream: Upstream) -> tuple[bool, int, int, float]:
         in_flight, last_used, tie = _recency_rank(node, upstream)
         return (
-            in_flight >= len(assigned[upstream.name]),
+            in_flight >= own_slot_count(node, service, upstream, now),
             in_flight,
             last_used,
             tie,
--- a/tests/test_slowstart.py
+++ b/tests/test_slowstart.py
@@ -12,7 +12,12 @@
 from chervilstep.commands.slowstart import eject_overdue
 from chervilstep.commands.slowstart_updates import flush_updates, handle_update
 from chervilstep.exceptions import PeerError
-from chervilstep.queries.assignment import max_in_flight, slot_assignment
+from chervilstep.queries.assignment import (
+    MAX_DEALT_SLOTS,
+    assigned_slots,
+    max_in_flight,
+    slot_assignment,
+)
 from chervilstep.queries.choice import choose_upstream, has_usable_upstream
 from chervilstep.queries.slowstart import may_send, total_open_slots
 from chervilstep.slowstart import WARM_SLOTS, SlowStart
@@ -378,3 +383,25 @@
 def test_malformed_state_of_a_peer_raises_peer_error(entry):
     with pytest.raises(PeerError):
         SlowStartUpdate([entry])
+
+
+def test_work_of_an_assignment_does_not_grow_with_the_slots():
+    """Guards against an entry with many slots that held up the event loop."""
+    few, many = (
+        a_service(
+            upstreams=[an_upstream('u-0', slots=count), an_upstream('u-1')]
+        )
+        for count in (MAX_DEALT_SLOTS, 10**9)
+    )
+    names = frozenset(ENTRY_NAMES)
+    assert len(slot_assignment(many, names)['u-0']) == MAX_DEALT_SLOTS
+    assert slot_assignment(few, names) == slot_assignment(many, names)
+
+
+@pytest.mark.parametrize('slots', [3, 63, 64, 65, 1000])
+def test_each_slot_is_assigned_to_one_instance(slots):
+    service = a_service(upstreams=[an_upstream('u-0', slots=slots)])
+    names = frozenset(ENTRY_NAMES)
+    shares = [assigned_slots(service, names, name)['u-0'] for name in names]
+    for total in (0, 1, slots, slots + 1):
+        assert sum(share.count_below(total) for share in shares) == total
