Let answers of peers say what they are complete for

Cause: an instance that asked a peer took over the peer's revision, though the peer's items lacked deletions up to it: those from before the peer's listing, and those that the peer had postponed. It then watched the store from a revision behind the deletion.

Change: replicas keep apart up to which revision no change is missing, from where on they know deletions, and up to where peers have sent items. An answer states its range; only an answer that covers the asker's revision moves it.

--- a/chervilstep/platform/source.py
+++ b/chervilstep/platform/source.py
@@ -14,8 +14,13 @@
 )
 from chervilstep.exceptions import SettingsError, StoreError
 from chervilstep.node import Node
-from chervilstep.platform.store import StoreItems, new_store_client
+from chervilstep.platform.store import (
+    ANSWER_TIMEOUT_SECONDS,
+    StoreItems,
+    new_store_client,
+)
 from chervilstep.queries.tables import is_address
+from chervilstep.types import Instant, new_deadline
 
 #: How long a watch waits for a change. Longer waits mean fewer calls, which the
 #: platform bills. But a watch that the store has dropped receives nothing until
@@ -25,9 +30,16 @@
 #: The delay between a change and the next watch, in which further changes
 #: accumulate: a fraction of the time in which a change must be in force.
 COALESCE_SECONDS: Final = 0.6
-#: The delay after the first failure; it doubles up to the maximum.
+#: The time between the first failed attempt and the next one; it doubles a few
+#: times. The recovery of the store must be seen soon, as deletions wait for some
+#: time after it.
 MIN_BACKOFF_SECONDS: Final = 0.1
-MAX_BACKOFF_SECONDS: Final = 0.8
+MAX_BACKOFF_DOUBLINGS: Final = 2
+#: The timeout of an answer during an outage, in which a lost request would
+#: otherwise hide the recovery.
+OUTAGE_TIMEOUT_SECONDS: Final = 0.6
+#: Each so many failures one request has the usual timeout, for a slow store.
+PATIENT_PERIOD: Final = 8
 #: Delays grow by up to this fraction, so that instances do not retry together.
 MAX_JITTER_FRACTION: Final = 0.5
 READS_COUNTER: Final = 'store_reads'
@@ -38,7 +50,7 @@
 class StoreSource:
     """Lists the items of a store (``store://ip:port``), then watches them."""
 
-    __slots__ = ('_client', '_has_listing', '_node')
+    __slots__ = ('_client', '_failures', '_has_listing', '_node')
 
     def __init__(self, node: Node, url: str) -> None:
         """Creates the source for the store at ``url``.
@@ -54,39 +66,44 @@
         self._node = node
         self._client = new_store_client(address)
         self._has_listing = False
+        self._failures = 0
 
     async def run(self) -> None:
         """Follows the store until cancelled."""
         self._node.replica.enable()
-        backoff_seconds = MIN_BACKOFF_SECONDS
         with contextlib.closing(self._client):
             while True:
-                if await self._try_read():
-                    backoff_seconds = MIN_BACKOFF_SECONDS
+                attempt_at = time.monotonic()
+                if await self._try_read(attempt_at):
+                    self._failures = 0
                     continue
-                jitter_factor = self._node.rng.uniform(
-                    1, 1 + MAX_JITTER_FRACTION
-                )
-                await asyncio.sleep(backoff_seconds * jitter_factor)
-                backoff_seconds = min(2 * backoff_seconds, MAX_BACKOFF_SECONDS)
+                retry_at = new_deadline(attempt_at, self._backoff_seconds())
+                self._failures += 1
+                await asyncio.sleep(retry_at.remaining(time.monotonic()))
+
+    def _backoff_seconds(self) -> float:
+        """Returns the time from a failed attempt to the next one."""
+        factor: int = 2 ** min(self._failures, MAX_BACKOFF_DOUBLINGS)
+        jitter_factor = self._node.rng.uniform(1, 1 + MAX_JITTER_FRACTION)
+        return MIN_BACKOFF_SECONDS * factor * jitter_factor
 
-    async def _try_read(self) -> bool:
+    async def _try_read(self, attempt_at: Instant) -> bool:
         """Reads once; returns whether to continue without a delay."""
         self._node.counters.add(READS_COUNTER)
         try:
             await self._read()
         except StoreError as fault:
-            now = time.monotonic()
             if fault.is_compacted and self._has_listing:
                 self._has_listing = False
                 self._node.events.add('store_compacted')
                 return True
-            record_store_failure(self._node, str(fault), now)
+            record_store_failure(
+                self._node, str(fault), attempt_at, time.monotonic()
+            )
             return False
         return True
 
     async def _read(self) -> None:
-        replica = self._node.replica
         if not self._has_listing:
             listing = await self._client.list_all()
             now = time.monotonic()
@@ -95,12 +112,9 @@
             apply_listing(self._node, listing.items, listing.as_of, now)
             self._has_listing = True
             return
-        # During an outage a watch does not wait, which detects the recovery
-        # sooner.
-        wait_seconds = (
-            0 if replica.unavailable_since is not None else WATCH_WAIT_SECONDS
+        changes = await self._client.watch(
+            self._node.replica.as_of, *self._watch_times()
         )
-        changes = await self._client.watch(replica.as_of, wait_seconds)
         now = time.monotonic()
         record_store_answer(self._node, now)
         self._record_skipped(changes)
@@ -109,6 +123,17 @@
             # More changes often follow; the next call returns all of them.
             await asyncio.sleep(COALESCE_SECONDS)
 
+    def _watch_times(self) -> tuple[float, float]:
+        """Returns how long a watch waits, and how long it may take beyond that.
+
+        During an outage it does not wait, which detects the recovery sooner.
+        """
+        if self._node.replica.unavailable_since is None:
+            return WATCH_WAIT_SECONDS, ANSWER_TIMEOUT_SECONDS
+        if self._failures % PATIENT_PERIOD == 0:
+            return 0, ANSWER_TIMEOUT_SECONDS
+        return 0, OUTAGE_TIMEOUT_SECONDS
+
     def _record_skipped(self, answer: StoreItems) -> None:
         if answer.skipped:
             self._node.counters.add('store_items_refused')
--- a/chervilstep/platform/store.py
+++ b/chervilstep/platform/store.py
@@ -93,9 +93,16 @@
             skipped += page.skipped
         return StoreItems(items, as_of, skipped=skipped)
 
-    async def watch(self, after: int, wait_seconds: float) -> StoreItems:
+    async def watch(
+        self,
+        after: int,
+        wait_seconds: float,
+        answer_seconds: float = ANSWER_TIMEOUT_SECONDS,
+    ) -> StoreItems:
         """Waits for items that change after the revision ``after``.
 
+        The store has ``answer_seconds`` beyond the wait for its answer.
+
         Raises:
             StoreError: The store did not answer, or its answer is invalid.
                 ``is_compacted`` is true if the store has discarded the
@@ -106,7 +113,10 @@
             'after': str(after),
             'waitMs': str(int(wait_seconds * MS_PER_SECOND)),
         }
-        return _decode_items(await self._get('kv-watch', query, wait_seconds))
+        timeout_seconds = wait_seconds + answer_seconds
+        return _decode_items(
+            await self._get('kv-watch', query, timeout_seconds)
+        )
 
     def close(self) -> None:
         """Closes the connection."""
@@ -114,19 +124,19 @@
 
     async def _get_page(self, after: str) -> StoreItems:
         query = {'prefix': '', 'after': after}
-        page = _decode_items(await self._get('kv-range', query, 0))
+        page = _decode_items(
+            await self._get('kv-range', query, ANSWER_TIMEOUT_SECONDS)
+        )
         if page.has_more and not page.items:
             raise StoreError('the store sent an empty page before the last one')
         return page
 
     async def _get(
-        self, operation: str, query: dict[str, str], wait_seconds: float
+        self, operation: str, query: dict[str, str], timeout_seconds: float
     ) -> dict[str, Any]:
         target = f'/api/{operation}?{urlencode(query)}'
         try:
-            response = await self._client.get(
-                target, wait_seconds + ANSWER_TIMEOUT_SECONDS
-            )
+            response = await self._client.get(target, timeout_seconds)
         except FetchError as fault:
             raise StoreError(str(fault)) from fault
         if response.status != _STATUS_OK:
--- a/chervilstep/queries/replica.py
+++ b/chervilstep/queries/replica.py
@@ -36,18 +36,38 @@
     )
 
 
-def items_changed_after(node: Node, revision: int) -> tuple[StoredItem, ...]:
-    """Returns the items changed after a revision, by revision."""
-    return tuple(
-        sorted(
-            (
-                item
-                for item in node.replica.items.values()
-                if item.revision > revision
-            ),
-            key=_revision_of,
-        )
-    )
+def knows_deletions_after(node: Node, revision: int) -> bool:
+    """Whether no deletion after a revision is missing from the items."""
+    return node.replica.listed_at <= revision
+
+
+def complete_to(node: Node) -> int:
+    """Returns the revision up to which a peer can rely on the items.
+
+    Postponed deletions are not among the items that peers get.
+    """
+    postponed = node.replica.postponed.values()
+    first = min(map(_revision_of, postponed), default=None)
+    as_of = node.replica.as_of
+    return as_of if first is None else min(as_of, first - 1)
+
+
+def items_for_peer(
+    node: Node, after: int, received_to: int
+) -> tuple[StoredItem, ...]:
+    """Returns the items that a peer may lack, by revision.
+
+    The peer's replica is complete up to ``after``. It has received the items
+    that some peer had up to ``received_to``, perhaps without deletions.
+    """
+    has_deletions = knows_deletions_after(node, after)
+    missing = [
+        item
+        for item in node.replica.items.values()
+        if item.revision > received_to
+        or (has_deletions and item.value is None and item.revision > after)
+    ]
+    return tuple(sorted(missing, key=_revision_of))
 
 
 def first_items(
--- a/chervilstep/replica.py
+++ b/chervilstep/replica.py
@@ -40,10 +40,13 @@
 
     __slots__ = (
         '_as_of',
+        '_failed_attempt_at',
         '_is_enabled',
         '_items',
+        '_listed_at',
         '_postponed',
         '_postponed_until',
+        '_received_to',
         '_refusals_logged',
         '_unavailable_since',
     )
@@ -52,6 +55,9 @@
         """Creates an empty replica that is not enabled."""
         self._items: dict[str, StoredItem] = {}
         self._as_of = 0
+        self._listed_at = 0
+        self._received_to = 0
+        self._failed_attempt_at: Instant | None = None
         self._is_enabled = False
         self._unavailable_since: Instant | None = None
         self._postponed_until: Deadline | None = None
@@ -65,9 +71,34 @@
 
     @property
     def as_of(self) -> int:
-        """The store's revision up to which the replica is complete."""
+        """The store's revision up to which no change is missing here.
+
+        Changes whose deletions are postponed count as known.
+        """
         return self._as_of
 
+    @property
+    def listed_at(self) -> int:
+        """The revision of the last listing.
+
+        A listing shows which keys exist, but not which were deleted before.
+        Deletions are therefore only known from this revision on.
+        """
+        return self._listed_at
+
+    @property
+    def received_to(self) -> int:
+        """The revision up to which peers have sent the items that they have.
+
+        Unlike ``as_of`` it does not mean that no deletion is missing.
+        """
+        return max(self._as_of, self._received_to)
+
+    @property
+    def failed_attempt_at(self) -> Instant | None:
+        """When the last failed request to the store was sent."""
+        return self._failed_attempt_at
+
     @property
     def is_enabled(self) -> bool:
         """Whether this instance reads a store."""
@@ -116,8 +147,17 @@
         """Records that a refusal of a key was logged."""
         self._refusals_logged[key] = logged_until
 
-    def record_outage(self, now: Instant) -> None:
-        """Records that the store is unavailable."""
+    def record_listing(self, as_of: int) -> None:
+        """Records that the items come from a listing at a revision."""
+        self._listed_at = as_of
+
+    def record_received(self, revision: int) -> None:
+        """Records up to which revision a peer has sent its items."""
+        self._received_to = max(self._received_to, revision)
+
+    def record_outage(self, attempt_at: Instant, now: Instant) -> None:
+        """Records that a request to the store, sent at a time, failed."""
+        self._failed_attempt_at = attempt_at
         if self._unavailable_since is None:
             self._unavailable_since = now
 
--- a/tests/spread_builders.py
+++ b/tests/spread_builders.py
@@ -8,7 +8,9 @@
 )
 from chervilstep.platform.source import (
     COALESCE_SECONDS,
-    MAX_BACKOFF_SECONDS,
+    MAX_BACKOFF_DOUBLINGS,
+    MIN_BACKOFF_SECONDS,
+    OUTAGE_TIMEOUT_SECONDS,
     WATCH_WAIT_SECONDS,
 )
 from chervilstep.platform.store import ANSWER_TIMEOUT_SECONDS
@@ -23,6 +25,7 @@
 POLL_PERIOD_SECONDS = 0.05
 #: The time after which an unresponsive store is detected.
 STORE_TIMEOUT_SECONDS = WATCH_WAIT_SECONDS + ANSWER_TIMEOUT_SECONDS
+BACKOFF_SECONDS = MIN_BACKOFF_SECONDS * 2**MAX_BACKOFF_DOUBLINGS
 
 
 class SpreadFleet(VirtualFleet):
@@ -116,11 +119,17 @@
 
     def _wait_for_timeout(self, node, since):
         """Models an unresponsive store, detected only by the timeout."""
-        if self.now < since + STORE_TIMEOUT_SECONDS:
+        timeout = (
+            STORE_TIMEOUT_SECONDS
+            if node.replica.unavailable_since is None
+            else OUTAGE_TIMEOUT_SECONDS
+        )
+        if self.now < since + timeout:
             self._schedule(POLL_PERIOD_SECONDS, self._watch, node, since)
             return
-        record_store_failure(node, 'silent', self.now)
-        self._schedule(MAX_BACKOFF_SECONDS, self._start_watch, node)
+        record_store_failure(node, 'silent', since, self.now)
+        next_at = max(self.now, since + BACKOFF_SECONDS)
+        self._schedule(next_at - self.now, self._start_watch, node)
 
     def _items_after(self, after):
         return [
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -3,9 +3,9 @@
 import pytest
 
 from chervilstep.commands.replica import (
+    MAX_POSTPONE_SECONDS,
     POSTPONE_SECONDS,
     ReplicaItems,
-    ReplicaQuery,
     apply_items,
     apply_listing,
     apply_postponed,
@@ -16,9 +16,7 @@
     record_store_failure,
 )
 from chervilstep.exceptions import PeerError
-from chervilstep.node import new_node
 from chervilstep.queries.soonest import SOONEST
-from tests.builders import a_settings
 from tests.platform_builders import (
     a_changed_entry,
     a_configuration,
@@ -26,18 +24,13 @@
     a_server_entry,
     a_stored_item,
 )
+from tests.replica_builders import a_query, a_replica_node, ask, lose_store
 
 CONFIGURATION_KEY = 'op/config'
 SERVER_KEY = 'servers/i-1'
 EVACUATION_KEY = 'op/evacuate/akl'
 
 
-def a_replica_node():
-    node = new_node(a_settings(), 1)
-    node.replica.enable()
-    return node
-
-
 def a_configured_node():
     node = a_replica_node()
     items = [
@@ -131,7 +124,7 @@
 
 def test_deletions_after_an_outage_are_postponed():
     node = a_configured_node()
-    record_store_failure(node, 'reset', 10)
+    lose_store(node, 10, 15)
     record_store_answer(node, 15)
     listed = [a_stored_item(CONFIGURATION_KEY, a_configuration(), 2)]
     apply_listing(node, listed, 9, 15)
@@ -144,7 +137,7 @@
 
 def test_server_registered_again_in_time_is_kept():
     node = a_configured_node()
-    record_store_failure(node, 'reset', 10)
+    lose_store(node, 10, 15)
     record_store_answer(node, 15)
     apply_listing(
         node, [a_stored_item(CONFIGURATION_KEY, a_configuration(), 2)], 9, 15
@@ -156,16 +149,22 @@
 
 def test_short_outage_postpones_nothing():
     node = a_configured_node()
-    record_store_failure(node, 'reset', 10)
+    lose_store(node, 10, 10.3)
     record_store_answer(node, 10.3)
     apply_items(node, [a_stored_item(SERVER_KEY, None, 9)], 9, 10.4)
     assert not upstream_names(node)
 
 
 def test_peer_provides_items_while_the_store_is_unavailable():
-    provider = a_configured_node()
-    requester = a_replica_node()
-    record_store_failure(requester, 'status 503', 0)
+    provider, requester = a_replica_node(), a_replica_node()
+    for each in (provider, requester):
+        apply_listing(each, [], 1, 0)
+    items = [
+        a_stored_item(CONFIGURATION_KEY, a_configuration(), 2),
+        a_stored_item(SERVER_KEY, a_server_entry(), 3),
+    ]
+    apply_items(provider, items, 3, 0)
+    lose_store(requester, 0, 1)
     requester.members.get_or_create_peer('entry-2').record_connect()
     query_peer(requester, 1)
     (query,) = requester.outbox.envelopes
@@ -175,9 +174,7 @@
     assert upstream_names(requester) == ['i-1']
     assert requester.replica.as_of == provider.replica.as_of
     provider.outbox.clear()
-    handle_replica_query(
-        provider, 'entry-1', ReplicaQuery(requester.replica.as_of), 2
-    )
+    handle_replica_query(provider, 'entry-1', a_query(requester), 2)
     assert not provider.outbox.envelopes
 
 
@@ -194,7 +191,7 @@
 def test_malformed_entry_is_a_peer_error(entry):
     with pytest.raises(PeerError):
         handle_replica_items(
-            a_replica_node(), 'entry-2', ReplicaItems([entry], 5), 0
+            a_replica_node(), 'entry-2', ReplicaItems([entry], 0, 5, 5), 0
         )
 
 
@@ -215,3 +212,86 @@
     assert not upstream_names(node)
     apply_items(node, [a_stored_item(SERVER_KEY, a_server_entry(), 5)], 5, 0)
     assert upstream_names(node) == ['i-1']
+
+
+def test_removal_from_before_a_listing_is_heard_from_the_store():
+    """Guards against a restarted peer that hid a removal it never saw."""
+    node = a_configured_node()
+    restarted = a_replica_node()
+    listed = [a_stored_item(CONFIGURATION_KEY, a_configuration(), 2)]
+    apply_listing(restarted, listed, 9, 0)
+    lose_store(node, 10, 15)
+    ask(node, restarted, 15)
+    assert node.replica.as_of == 3
+    record_store_answer(node, 15)
+    apply_items(node, [a_stored_item(SERVER_KEY, None, 8)], 9, 15)
+    apply_postponed(node, 18)
+    assert not upstream_names(node)
+
+
+def test_removal_that_a_peer_has_postponed_is_not_hidden():
+    """Guards against a peer whose answer left out what it had postponed."""
+    node, postponing = a_configured_node(), a_configured_node()
+    for each in (node, postponing):
+        lose_store(each, 10, 15)
+    record_store_answer(postponing, 15)
+    news = [
+        a_stored_item(SERVER_KEY, None, 4),
+        a_stored_item('servers/i-2', a_server_entry(port=8081), 5),
+    ]
+    apply_items(postponing, news, 5, 15)
+    ask(node, postponing, 15.5)
+    assert upstream_names(node) == ['i-1', 'i-2']
+    assert node.replica.as_of == 3
+    apply_postponed(postponing, 18)
+    ask(node, postponing, 18)
+    assert upstream_names(node) == ['i-2']
+    assert node.replica.as_of == 5
+
+
+def test_incomplete_items_are_not_passed_on_as_complete():
+    first, second = a_configured_node(), a_configured_node()
+    restarted = a_replica_node()
+    listed = [
+        a_stored_item(CONFIGURATION_KEY, a_configuration(version=8), 7),
+        a_stored_item('servers/i-2', a_server_entry(port=8081), 8),
+    ]
+    apply_listing(restarted, listed, 9, 0)
+    for each in (first, second):
+        lose_store(each, 10, 15)
+    ask(first, restarted, 15)
+    ask(second, first, 15)
+    for each in (first, second):
+        assert each.snapshot.version == 8
+        assert upstream_names(each) == ['i-1', 'i-2']
+        assert each.replica.as_of == 3
+
+
+def test_items_received_once_are_not_sent_again():
+    node, restarted = a_configured_node(), a_replica_node()
+    listed = [a_stored_item('servers/i-2', a_server_entry(port=8081), 8)]
+    apply_listing(restarted, listed, 9, 0)
+    lose_store(node, 10, 15)
+    assert ask(node, restarted, 15)
+    assert not ask(node, restarted, 16)
+
+
+def test_deletions_wait_no_longer_than_the_store_can_have_been_back():
+    """Guards against an upstream that left and was used 3 s after a cut."""
+    node = a_configured_node()
+    record_store_failure(node, 'TimeoutError', 10, 11)
+    record_store_failure(node, 'TimeoutError', 13.5, 15)
+    record_store_answer(node, 15)
+    listed = [a_stored_item(CONFIGURATION_KEY, a_configuration(), 2)]
+    apply_listing(node, listed, 9, 15)
+    apply_postponed(node, 16.2)
+    assert upstream_names(node) == ['i-1']
+    apply_postponed(node, 13.5 + MAX_POSTPONE_SECONDS)
+    assert not upstream_names(node)
+
+
+@pytest.mark.parametrize('revision', [-1, 2**63, 1.5, '4', True])
+def test_revisions_of_peers_are_bounded(revision):
+    for numbers in ((revision, 1, 1), (1, revision, 1), (1, 1, revision)):
+        with pytest.raises(PeerError):
+            ReplicaItems([], *numbers)
