Hold all bodies within one budget of bytes

Cause: each body was bounded by itself, kept up to three times, and nothing bounded the sum. Ruled out: a single body, which is served.

Change: bytes are taken from one budget before they are read and go back with the last reference to their body. Without room a stream is not read for a short time; then a request is refused, not run, with a Retry-After, and an answer is given up. Small bodies, other customers and services keep their part. Long bodies are read in place and written without a copy; tiny chunks yield to the loop.

--- a/chervilstep/adapters/answers.py
+++ b/chervilstep/adapters/answers.py
@@ -1,13 +1,21 @@
 """Reads HTTP responses of upstreams and checks their completeness."""
 
+import asyncio
 import re
+from collections.abc import Awaitable, Callable
 from typing import Final, final
 
 from tornado import httputil
 
+from chervilstep.adapters.buffering import Reservation
+from chervilstep.adapters.requests import MAX_COPIED_BYTES
 from chervilstep.calls import Answer, Headers
 from chervilstep.queries.headers import answer_headers, parse_content_length
 
+#: A turn of the event loop reads at most so many chunks of one body.
+CHUNKS_PER_TURN: Final = 32
+#: Answers are much shorter than this, unless something is wrong.
+OVERLONG_BYTES: Final = 4 * 1024 * 1024
 _KEEP_ALIVE_TIMEOUT: Final = re.compile(r'timeout=(\d+)')
 _STATUSES_WITHOUT_BODY: Final = frozenset((204, 304))
 
@@ -21,20 +29,44 @@
     """
 
     __slots__ = (
+        '_abort',
+        '_body',
         '_body_limit_bytes',
-        '_chunks',
+        '_chunk_count',
         '_headers',
+        '_is_aborted',
         '_is_finished',
         '_is_head',
         '_is_reusable',
+        '_reservation',
+        '_size',
         '_start_line',
     )
 
-    def __init__(self, method: str, body_limit_bytes: int) -> None:
-        """Creates a reader for the response to a ``method`` request."""
+    def __init__(
+        self,
+        method: str,
+        body_limit_bytes: int,
+        abort: Callable[[], None] | None = None,
+        reservation: Reservation | None = None,
+    ) -> None:
+        """Creates a reader for the response to a ``method`` request.
+
+        Args:
+            method: The method of the request.
+            body_limit_bytes: The longest accepted body.
+            abort: Closes the connection when a body cannot be held.
+            reservation: Reserves the bytes of the body, which is otherwise
+                only bounded by its limit.
+        """
         self._is_head = method == 'HEAD'
         self._body_limit_bytes = body_limit_bytes
-        self._chunks: list[bytes] = []
+        self._abort = abort
+        self._reservation = reservation
+        self._body = bytearray()
+        self._chunk_count = 0
+        self._is_aborted = False
+        self._size = 0
         self._headers = httputil.HTTPHeaders()
         self._start_line: httputil.ResponseStartLine | None = None
         self._is_finished = False
@@ -58,9 +90,17 @@
 
     @property
     def is_too_large(self) -> bool:
-        """Whether the content length is above the limit."""
+        """Whether the body is above the limit, or there is no room for it."""
         length = parse_content_length(self._headers.get('Content-Length'))
-        return length > self._body_limit_bytes
+        return self._is_aborted or length > self._body_limit_bytes
+
+    @property
+    def is_overlong(self) -> bool:
+        """Whether a long body was given up for lack of room.
+
+        Such a body probably has no end, and its upstream is at fault.
+        """
+        return self._is_aborted and self._size > OVERLONG_BYTES
 
     @property
     def keeps_alive(self) -> bool:
@@ -87,13 +127,16 @@
     def answer(self) -> Answer | None:
         """The answer, or None until it is complete."""
         start = self._start_line
-        if start is None or not self._is_finished:
+        if start is None or not self._is_finished or self._is_aborted:
             return None
         return Answer(
             start.code,
             start.reason,
             self._end_to_end_headers(),
-            b''.join(self._chunks),
+            self._body
+            if len(self._body) > MAX_COPIED_BYTES
+            else bytes(self._body),
+            self._reservation.holding if self._reservation else None,
         )
 
     def forbid_reuse(self) -> None:
@@ -114,14 +157,39 @@
             self._start_line = start_line
             self._headers = headers
 
-    def data_received(self, chunk: bytes) -> None:
-        """Stores a chunk of the body."""
-        self._chunks.append(chunk)
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        """Stores a chunk of the body; the next one waits for the result."""
+        self._chunk_count += 1
+        has_turn = self._chunk_count % CHUNKS_PER_TURN
+        if has_turn and self._reserve_now(len(chunk)):
+            self._body += chunk
+            return None
+        return self._store_later(chunk)
 
     def finish(self) -> None:
         """Marks the body as complete according to its framing."""
         self._is_finished = True
 
+    def _reserve_now(self, size: int) -> bool:
+        return self._reservation is None or self._reservation.try_extend(size)
+
+    async def _store_later(self, chunk: bytes) -> None:
+        """Stores a chunk once there is room, or closes the connection.
+
+        Small chunks that follow each other at once would hold up the loop.
+        """
+        await asyncio.sleep(0)
+        if self._reservation is None or await self._reservation.extend(
+            len(chunk)
+        ):
+            self._body += chunk
+            return
+        self._is_aborted = True
+        self._size = len(self._body)
+        self._body.clear()
+        if self._abort is not None:
+            self._abort()
+
     def _end_to_end_headers(self) -> Headers:
         headers = answer_headers(self._headers.get_all())
         # A response to HEAD states the length of a body that is not sent.
--- a/chervilstep/adapters/entry.py
+++ b/chervilstep/adapters/entry.py
@@ -9,6 +9,7 @@
 
 from tornado import http1connection, httputil, iostream
 
+from chervilstep.adapters.buffering import RequestBuffering, Reservation
 from chervilstep.adapters.streams import ignore_exception
 from chervilstep.calls import Answer, Call, Reply
 from chervilstep.node import Node
@@ -19,6 +20,7 @@
     HEADERS_TOO_LARGE,
     INTERNAL_ERROR,
     KEY_IN_QUERY,
+    MEMORY_FULL,
     Refusal,
 )
 from chervilstep.types import MS_PER_SECOND, Deadline, Instant, new_deadline
@@ -65,6 +67,11 @@
         """Returns the reader of a new request."""
         return RequestReader(self, request_conn)
 
+    def new_reservation(self, headers: httputil.HTTPHeaders) -> Reservation:
+        """Returns the reservation for the body of a request."""
+        buffering = RequestBuffering(self._node, self._clock)
+        return buffering.new_reservation(headers).reservation
+
     def start_call(
         self, reader: 'RequestReader', call: Call
     ) -> asyncio.Task[None]:
@@ -126,6 +133,7 @@
         '_is_answered',
         '_received_bytes',
         '_refusal',
+        '_reservation',
         '_start_line',
         '_task',
     )
@@ -135,6 +143,7 @@
     ) -> None:
         """Creates a reader for a request on ``connection``."""
         self._front_end = front_end
+        self._reservation: Reservation | None = None
         self._connection = cast(http1connection.HTTP1Connection, connection)
         self._chunks: list[bytes] = []
         self._received_bytes = 0
@@ -151,6 +160,7 @@
         if isinstance(start_line, httputil.RequestStartLine):
             self._start_line = start_line
         self._headers = headers
+        self._reservation = self._front_end.new_reservation(headers)
         limit = self._front_end.node.settings.header_limit_bytes
         if sum(len(name) + len(text) for name, text in headers.get_all()) > (
             limit
@@ -171,7 +181,14 @@
             self._refusal = BODY_TOO_LARGE
             self._chunks.clear()
         if self._refusal is None:
+            self._store(chunk)
+
+    def _store(self, chunk: bytes) -> None:
+        if self._reservation and self._reservation.try_extend(len(chunk)):
             self._chunks.append(chunk)
+        else:
+            self._refusal = MEMORY_FULL
+            self._chunks.clear()
 
     def finish(self) -> None:
         """Answers the complete request or starts its call."""
@@ -211,7 +228,7 @@
                     'HTTP/1.1', answer.status, answer.reason
                 ),
                 headers,
-                answer.body or None,
+                bytes(answer.body) or None,
             )
         except iostream.StreamClosedError:
             return
--- a/chervilstep/adapters/framing.py
+++ b/chervilstep/adapters/framing.py
@@ -1,15 +1,26 @@
 """Reads request bodies and rejects ambiguous framing."""
 
+import asyncio
+import itertools
 import re
-from typing import Final, final
+from collections.abc import Awaitable, Callable
+from typing import Final, TypeAlias, cast, final
 
 from tornado import httputil, iostream
 
+from chervilstep.calls import Body
 from chervilstep.exceptions import RequestError
 
 #: The longest chunk-size line, including chunk extensions.
 MAX_CHUNK_LINE_BYTES: Final = 256
 MAX_TRAILER_BYTES: Final = 8192
+#: Long bodies are read in pieces of this size.
+PIECE_BYTES: Final = 64 * 1024
+#: A turn of the event loop reads at most so many chunks of one body, which takes
+#: less than a millisecond.
+CHUNKS_PER_TURN: Final = 32
+#: Reserves bytes before they are read; raises ``OverloadError`` without room.
+Reserve: TypeAlias = Callable[[int], Awaitable[None]]
 
 _LENGTH_PATTERN: Final = re.compile(r'[0-9]{1,18}')
 _CHUNK_SIZE_PATTERN: Final = re.compile(rb'[0-9a-fA-F]{1,15}')
@@ -64,19 +75,41 @@
 
 
 async def read_body(
-    stream: iostream.IOStream, framing: Framing, limit_bytes: int
-) -> bytes:
+    stream: iostream.IOStream,
+    framing: Framing,
+    limit_bytes: int,
+    reserve: Reserve,
+) -> Body:
     """Reads a complete body.
 
+    The bytes of chunks are reserved before they are read; those of a body with
+    a length must be reserved already.
+
     Raises:
         RequestError: A chunk is malformed, or the body is above the limit.
+        OverloadError: There is no room for a chunk.
         StreamClosedError: The caller closed the connection.
     """
     if framing.is_chunked:
-        return await _read_chunks(stream, limit_bytes)
+        return await _read_chunks(stream, limit_bytes, reserve)
     if not framing.length:
         return b''
-    return await stream.read_bytes(framing.length)
+    if framing.length <= PIECE_BYTES:
+        return await stream.read_bytes(framing.length)
+    return await _read_in_place(stream, framing.length)
+
+
+async def _read_in_place(stream: iostream.IOStream, length: int) -> bytearray:
+    """Reads a long body without a second copy of it."""
+    body = bytearray(length)
+    for start in range(0, length, PIECE_BYTES):
+        end = min(start + PIECE_BYTES, length)
+        # Tornado accepts any writable buffer.
+        piece = cast(bytearray, memoryview(body)[start:end])
+        await stream.read_into(piece)
+        # A read that finds its bytes at once does not yield to the loop.
+        await asyncio.sleep(0)
+    return body
 
 
 def _parse_content_length(lengths: list[str]) -> int:
@@ -87,21 +120,38 @@
     return int(lengths[0])
 
 
-async def _read_chunks(stream: iostream.IOStream, limit_bytes: int) -> bytes:
-    chunks: list[bytes] = []
-    remaining = limit_bytes
-    size = await _read_chunk_size(stream)
-    while size:
-        if size > remaining:
-            raise RequestError(413, 'The body is too large.')
-        remaining -= size
-        chunk = await stream.read_bytes(size + len(_LINE_END))
-        if chunk[size:] != _LINE_END:
-            raise RequestError(400, 'A chunk has no end.')
-        chunks.append(chunk[:size])
+async def _read_chunks(
+    stream: iostream.IOStream, limit_bytes: int, reserve: Reserve
+) -> bytearray:
+    body = bytearray()
+    for number in itertools.count():
+        if not number % CHUNKS_PER_TURN:
+            # Reads that find their bytes at once do not yield to the loop.
+            await asyncio.sleep(0)
         size = await _read_chunk_size(stream)
+        if not size:
+            break
+        if size > limit_bytes - len(body):
+            raise RequestError(413, 'The body is too large.')
+        await reserve(size)
+        await _read_chunk(stream, size, body)
     await _skip_trailers(stream)
-    return b''.join(chunks)
+    return body
+
+
+async def _read_chunk(
+    stream: iostream.IOStream, size: int, body: bytearray
+) -> None:
+    """Appends a chunk to ``body``, piece by piece."""
+    remaining = size
+    while remaining:
+        piece = await stream.read_bytes(
+            min(remaining, PIECE_BYTES), partial=True
+        )
+        body += piece
+        remaining -= len(piece)
+    if await stream.read_bytes(len(_LINE_END)) != _LINE_END:
+        raise RequestError(400, 'A chunk has no end.')
 
 
 async def _read_chunk_size(stream: iostream.IOStream) -> int:
--- a/chervilstep/adapters/http1.py
+++ b/chervilstep/adapters/http1.py
@@ -11,85 +11,52 @@
 import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
-from http import HTTPStatus
-from typing import Final, Protocol, TypeAlias, final
+from functools import partial
+from typing import Final, final
 
-import structlog
 from tornado import httputil, iostream
 
 from chervilstep.adapters.backlog import BacklogServer
+from chervilstep.adapters.exchanges import (
+    Exchange,
+    Handler,
+    RequestLimits,
+    RequestReservation,
+    drop_written,
+    refusal_response,
+    response_of,
+)
 from chervilstep.adapters.framing import Framing, parse_framing, read_body
 from chervilstep.adapters.requests import Request, Response, parse_head
 from chervilstep.adapters.streams import (
-    discard_input,
+    discarded_input,
     has_pending_input,
     ignore_exception,
 )
 from chervilstep.exceptions import RequestError
+from chervilstep.types import Deadline, Instant, new_deadline
 
 #: The limit on concurrent requests of a connection, where reading pauses.
 MAX_PIPELINED_REQUESTS: Final = 16
-#: How long a connection stays open for reading after its last response.
+#: How long a connection stays open for reading after its last response, and after
+#: further input: a caller that still sends a refused body reads the refusal later.
 LINGER_SECONDS: Final = 1.0
+MAX_LINGER_SECONDS: Final = 10.0
 #: Heads of up to this many times the limit are read and answered with 431;
 #: larger ones close the connection.
 HEAD_READ_FACTOR: Final = 2
 
-_log = structlog.get_logger()
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 _HEAD_END: Final = rb'\r?\n\r?\n'
 
 
-class RequestLimits(Protocol):
-    """The limits on requests and idle connections."""
-
-    @property
-    def head_bytes(self) -> int:
-        """The largest accepted size of a request head, in bytes."""
-
-    @property
-    def body_bytes(self) -> int:
-        """The largest accepted size of a request body, in bytes."""
-
-    @property
-    def idle_seconds(self) -> float:
-        """The timeout of idle connections and of incomplete bodies."""
-
-
-#: Handles one request; cancelled when the caller disconnects.
-Handler: TypeAlias = Callable[[Request], Awaitable[Response]]
-
-
-@final
-class Exchange:
-    """A request in progress and the task that produces its response."""
-
-    __slots__ = ('_is_head', '_task')
-
-    def __init__(
-        self, task: 'asyncio.Task[Response]', *, is_head: bool
-    ) -> None:
-        """Creates an exchange for a running task."""
-        self._task = task
-        self._is_head = is_head
-
-    @property
-    def task(self) -> 'asyncio.Task[Response]':
-        """The task that produces the response."""
-        return self._task
-
-    @property
-    def is_head(self) -> bool:
-        """Whether the method is HEAD, whose responses have no body."""
-        return self._is_head
-
-
 @final
 class ServerConnection:
     """One connection of a caller."""
 
     __slots__ = (
         '_can_read',
+        '_discarded_at',
         '_exchanges',
         '_is_closing',
         '_is_receiving',
@@ -112,6 +79,7 @@
         self._sent_last_response = False
         self._is_receiving = False
         self._timer: asyncio.TimerHandle | None = None
+        self._discarded_at: Instant = 0
 
     @property
     def is_idle(self) -> bool:
@@ -153,7 +121,7 @@
                 self._server.handle(request), is_head=request.method == 'HEAD'
             )
         # Detects that the caller closes the connection.
-        await discard_input(self._stream)
+        await self._discard_all()
 
     async def _read_request(self) -> Request:
         limits = self._server.limits
@@ -166,15 +134,22 @@
         self._is_receiving = True
         start, headers = parse_head(head)
         framing = parse_framing(headers, limits.body_bytes)
+        reservation = self._server.new_reservation(headers)
+        if framing.length:
+            await reservation.extend(framing.length)
         await self._send_continue(headers, framing)
         self._restart_timer()
-        body = await read_body(self._stream, framing, limits.body_bytes)
+        body = await read_body(
+            self._stream, framing, limits.body_bytes, reservation.extend
+        )
         self._cancel_timer()
         if headers.get('Connection', '').lower() == 'close':
             self._is_closing = True
         if start.version == 'HTTP/1.0':
             self._is_closing = True
-        return Request(start.method, start.path, headers, body)
+        return Request(
+            start.method, start.path, headers, body, reservation.holding
+        )
 
     async def _send_continue(
         self, headers: httputil.HTTPHeaders, framing: Framing
@@ -196,16 +171,20 @@
         """Refuses a malformed request after all earlier responses."""
         self._is_closing = True
         self._server.report_refusal(error)
-        self._start_exchange(_refusal_response(error))
+        self._start_exchange(refusal_response(error))
         task = asyncio.ensure_future(self._discard_input())
         task.add_done_callback(ignore_exception)
 
     async def _discard_input(self) -> None:
         try:
-            await discard_input(self._stream)
+            await self._discard_all()
         except iostream.StreamClosedError:
             self._abort()
 
+    async def _discard_all(self) -> None:
+        async for _ in discarded_input(self._stream):
+            self._discarded_at = asyncio.get_running_loop().time()
+
     def _flush_responses(self, task: 'asyncio.Task[Response]') -> None:
         """Writes finished responses, in the order of their requests."""
         while self._exchanges and self._exchanges[0].task.done():
@@ -222,13 +201,14 @@
         if self._server.is_lame_duck:
             self._is_closing = True
         closes = self._is_closing and not self._exchanges
-        response = _response_of(exchange.task)
-        encoded = response.encode(is_head=exchange.is_head, closes=closes)
+        response = response_of(exchange.task)
+        parts = response.encode(is_head=exchange.is_head, closes=closes)
         try:
-            written = self._stream.write(encoded)
+            written = [self._stream.write(part) for part in parts][-1]
         except iostream.StreamClosedError:
             return
-        written.add_done_callback(ignore_exception)
+        # The bytes of the body are held until the caller has taken them.
+        written.add_done_callback(partial(drop_written, response))
         if closes:
             self._sent_last_response = True
             written.add_done_callback(self._half_close)
@@ -241,9 +221,19 @@
         """
         if not self._stream.closed():
             self._server.shut_down_writes(self._stream)
-            asyncio.get_running_loop().call_later(
-                LINGER_SECONDS, self._stream.close
-            )
+            now = asyncio.get_running_loop().time()
+            self._discarded_at = now
+            self._close_when_quiet(new_deadline(now, MAX_LINGER_SECONDS))
+
+    def _close_when_quiet(self, deadline: Deadline) -> None:
+        """Closes the stream after ``LINGER_SECONDS`` without input."""
+        loop = asyncio.get_running_loop()
+        quiet_at = new_deadline(self._discarded_at, LINGER_SECONDS)
+        close_at = quiet_at.earlier(deadline)
+        if close_at.has_passed(loop.time()):
+            self._stream.close()
+        else:
+            loop.call_at(close_at.at, self._close_when_quiet, deadline)
 
     def _abort(self) -> None:
         """Cancels the requests in progress and closes the stream."""
@@ -286,6 +276,7 @@
         '_handler',
         '_is_lame_duck',
         '_limits',
+        '_new_reservation',
         '_on_refusal',
     )
 
@@ -294,9 +285,11 @@
         handler: Handler,
         limits: Callable[[], RequestLimits],
         on_refusal: Callable[[RequestError], None],
+        new_reservation: Callable[[httputil.HTTPHeaders], RequestReservation],
     ) -> None:
         """Creates a server; ``limits`` is called for each request."""
         super().__init__()
+        self._new_reservation = new_reservation
         self._handler = handler
         self._limits = limits
         self._on_refusal = on_refusal
@@ -318,6 +311,12 @@
         """The number of open connections."""
         return len(self._connections)
 
+    def new_reservation(
+        self, headers: httputil.HTTPHeaders
+    ) -> RequestReservation:
+        """Returns the reservation for the body of a request."""
+        return self._new_reservation(headers)
+
     def handle(self, request: Request) -> Awaitable[Response]:
         """Calls the handler with a request."""
         return self._handler(request)
@@ -362,19 +361,3 @@
             self._connections.add(connection)
             stack.callback(self._connections.discard, connection)
             await connection.run()
-
-
-def _response_of(task: 'asyncio.Task[Response]') -> Response:
-    """Returns the response of a finished task; a failed one also gets one.
-
-    Without it, the caller would take the next response for this one.
-    """
-    fault = task.exception()
-    if fault is None:
-        return task.result()
-    _log.error('request_failed', fault=repr(fault))
-    return Response(HTTPStatus.INTERNAL_SERVER_ERROR, (), b'')
-
-
-async def _refusal_response(error: RequestError) -> Response:
-    return Response(error.status, (), f'{error}\n'.encode())
--- a/chervilstep/adapters/instance.py
+++ b/chervilstep/adapters/instance.py
@@ -9,6 +9,7 @@
 
 import structlog
 
+from chervilstep.adapters.buffering import reserve_answer
 from chervilstep.adapters.capabilities import load_capabilities
 from chervilstep.adapters.dispatcher import new_dispatcher
 from chervilstep.adapters.edge import EDGES, Edge
@@ -54,7 +55,10 @@
         self._node = node
         self._clock = clock
         self._pool = new_pool(
-            node.settings, clock, functools.partial(is_trusted, node)
+            node.settings,
+            clock,
+            functools.partial(is_trusted, node),
+            functools.partial(reserve_answer, node, clock),
         )
         self._health_checker = new_health_checker(node, clock)
         dispatcher = new_dispatcher(
--- a/chervilstep/adapters/keepalive.py
+++ b/chervilstep/adapters/keepalive.py
@@ -37,7 +37,7 @@
     @property
     def body(self) -> bytes:
         """The complete body."""
-        return self._answer.body
+        return bytes(self._answer.body)
 
     @property
     def headers(self) -> httputil.HTTPHeaders:
--- a/chervilstep/adapters/pool.py
+++ b/chervilstep/adapters/pool.py
@@ -3,12 +3,14 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from typing import Final, final
+from typing import Final, cast, final
 
 from tornado import http1connection, httputil, iostream
 
 from chervilstep.adapters.answers import AnswerReader
+from chervilstep.adapters.buffering import Reservation
 from chervilstep.adapters.dialect import new_dialect
+from chervilstep.adapters.requests import MAX_COPIED_BYTES
 from chervilstep.adapters.streams import (
     InspectableStream,
     connect,
@@ -94,6 +96,7 @@
         '_idle',
         '_is_trusted',
         '_params',
+        '_reserve_for',
     )
 
     def __init__(
@@ -101,12 +104,15 @@
         settings: Settings,
         clock: Callable[[], Instant],
         is_trusted: Callable[[str, Instant], bool],
+        reserve_for: Callable[[str], Reservation] | None,
     ) -> None:
         """Creates an empty pool.
 
         ``is_trusted`` returns whether an idle connection may be reused, given
-        the name of the upstream and the instant of opening.
+        the name of the upstream and the instant of opening. ``reserve_for``
+        returns a reservation for an answer of the service with a name.
         """
+        self._reserve_for = reserve_for
         self._clock = clock
         self._dialect = new_dialect(settings.dialect)
         self._is_trusted = is_trusted
@@ -162,12 +168,12 @@
                 Ending.LOST_BEFORE_WRITE, Verdict.NOT_RUN
             )
         http = http1connection.HTTP1Connection(stream, True, self._params)
-        reader = self._new_reader(attempt)
+        reader = self._new_reader(attempt, stream)
         try:
             async with asyncio.timeout(
                 attempt.deadline.remaining(self._clock())
             ):
-                written = self._write_request(http, attempt)
+                self._write_request(http, attempt)
                 reader = await self._read_answer(http, attempt, reader, stream)
         except TimeoutError:
             stream.close()
@@ -175,7 +181,7 @@
         except (iostream.StreamClosedError, iostream.UnsatisfiableReadError):
             stream.close()
             return self._incomplete_outcome(reader)
-        if not written.done():
+        if stream.writing():
             # The upstream answered before the whole request was sent.
             reader.forbid_reuse()
         return self._response_outcome(attempt, connection, reader)
@@ -196,19 +202,29 @@
             # The request is already sent; otherwise the reader would wait for
             # its end.
             http.finish()
-            reader = self._new_reader(attempt)
+            reader = self._new_reader(attempt, stream)
             reader.forbid_reuse()
         await http.read_response(reader)
         if not self._dialect.matches_attempt(attempt, reader.headers):
             raise iostream.StreamClosedError
         return reader
 
-    def _new_reader(self, attempt: Attempt) -> AnswerReader:
-        return AnswerReader(attempt.ticket.call.method, self._body_limit_bytes)
+    def _new_reader(
+        self, attempt: Attempt, stream: InspectableStream
+    ) -> AnswerReader:
+        reservation = None
+        if self._reserve_for is not None:
+            reservation = self._reserve_for(attempt.ticket.route.service)
+        return AnswerReader(
+            attempt.ticket.call.method,
+            self._body_limit_bytes,
+            stream.close,
+            reservation,
+        )
 
     def _write_request(
         self, http: http1connection.HTTP1Connection, attempt: Attempt
-    ) -> 'asyncio.Future[None]':
+    ) -> None:
         call = attempt.ticket.call
         headers = httputil.HTTPHeaders()
         for name, text in call.headers:
@@ -218,11 +234,16 @@
         for name, text in self._dialect.request_headers(attempt, self._clock()):
             headers[name] = text
         start = httputil.RequestStartLine(call.method, call.target, 'HTTP/1.1')
-        written = http.write_headers(start, headers, call.body or None)
-        # A lost connection is detected by reading, so the write is not awaited.
+        # A lost connection is detected by reading, so writes are not awaited.
+        if len(call.body) > MAX_COPIED_BYTES:
+            written = http.write_headers(start, headers)
+            written.add_done_callback(ignore_exception)
+            written = http.write(cast(bytes, call.body))
+        else:
+            body = bytes(call.body) or None
+            written = http.write_headers(start, headers, body)
         written.add_done_callback(ignore_exception)
         http.finish()
-        return written
 
     def _response_outcome(
         self, attempt: Attempt, connection: Connection, reader: AnswerReader
@@ -260,6 +281,8 @@
         return self._dialect.allows_close_delimited and not was_reset
 
     def _incomplete_outcome(self, reader: AnswerReader) -> Outcome:
+        if reader.is_overlong:
+            return self._failed_outcome(Ending.BAD_ANSWER, Verdict.MAY_HAVE_RUN)
         if reader.is_too_large:
             return self._failed_outcome(Ending.TOO_LARGE, Verdict.RAN)
         if reader.has_head:
@@ -320,6 +343,7 @@
     settings: Settings,
     clock: Callable[[], Instant],
     is_trusted: Callable[[str, Instant], bool],
+    reserve_for: Callable[[str], Reservation] | None = None,
 ) -> HttpPool:
     """Creates an empty connection pool."""
-    return HttpPool(settings, clock, is_trusted)
+    return HttpPool(settings, clock, is_trusted, reserve_for)
--- a/chervilstep/adapters/requests.py
+++ b/chervilstep/adapters/requests.py
@@ -1,13 +1,18 @@
 """HTTP/1.1 requests and responses, and their wire format."""
 
 from http import HTTPStatus
-from typing import Final, final
+from typing import Final, TypeAlias, final
 
 from tornado import httputil
 
-from chervilstep.calls import Headers
+from chervilstep.calls import Body, Headers
 from chervilstep.exceptions import RequestError
+from chervilstep.memory import Holding
 
+#: Bytes that a stream can write without a copy.
+Part: TypeAlias = bytes | memoryview
+#: Longer bodies are written apart from their head.
+MAX_COPIED_BYTES: Final = 64 * 1024
 _STATUSES_WITHOUT_BODY: Final = frozenset((204, 304))
 
 
@@ -15,16 +20,21 @@
 class Request:
     """A complete request."""
 
-    __slots__ = ('_body', '_headers', '_method', '_target')
+    __slots__ = ('_body', '_headers', '_holding', '_method', '_target')
 
     def __init__(
         self,
         method: str,
         target: str,
         headers: httputil.HTTPHeaders,
-        body: bytes,
+        body: Body,
+        holding: Holding | None = None,
     ) -> None:
-        """Creates a request from its parsed parts."""
+        """Creates a request from its parsed parts.
+
+        ``holding`` has the bytes of the body, if these are in the budget.
+        """
+        self._holding = holding
         self._method = method
         self._target = target
         self._headers = headers
@@ -46,28 +56,50 @@
         return self._headers
 
     @property
-    def body(self) -> bytes:
+    def body(self) -> Body:
         """The decoded body."""
         return self._body
 
+    @property
+    def holding(self) -> Holding | None:
+        """The bytes of the body in the budget."""
+        return self._holding
+
 
 @final
 class Response:
     """A complete response."""
 
-    __slots__ = ('_body', '_headers', '_reason', '_status')
+    __slots__ = ('_body', '_headers', '_holding', '_reason', '_status')
 
     def __init__(
-        self, status: int, headers: Headers, body: bytes, reason: str = ''
+        self,
+        status: int,
+        headers: Headers,
+        body: Body,
+        reason: str = '',
+        holding: Holding | None = None,
     ) -> None:
-        """Creates a response; ``encode`` adds the framing headers."""
+        """Creates a response; ``encode`` adds the framing headers.
+
+        ``holding`` has the bytes of the body, if these are in the budget.
+        """
+        self._holding = holding
         self._status = status
         self._headers = headers
         self._body = body
         self._reason = reason or _reason_phrase(status)
 
-    def encode(self, *, is_head: bool, closes: bool) -> bytes:
-        """Returns the response as bytes, without a body for HEAD."""
+    @property
+    def holding(self) -> Holding | None:
+        """The bytes of the body in the budget."""
+        return self._holding
+
+    def encode(self, *, is_head: bool, closes: bool) -> tuple[Part, ...]:
+        """Returns the parts to write, without a body for HEAD.
+
+        A long body is a part of its own, so that it is not copied.
+        """
         lines = [f'HTTP/1.1 {self._status} {self._reason}']
         lines.extend(f'{name}: {text}' for name, text in self._headers)
         has_body = self._status not in _STATUSES_WITHOUT_BODY and not is_head
@@ -76,7 +108,11 @@
         if closes:
             lines.append('Connection: close')
         head = '\r\n'.join((*lines, '', '')).encode('latin-1')
-        return b''.join((head, self._body if has_body else b''))
+        if not has_body or not self._body:
+            return (head,)
+        if len(self._body) > MAX_COPIED_BYTES:
+            return head, memoryview(self._body)
+        return (b''.join((head, self._body)),)
 
 
 def parse_head(
--- a/chervilstep/adapters/streams.py
+++ b/chervilstep/adapters/streams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from collections.abc import AsyncIterator
 from typing import Any, Final, final
 
 from tornado import iostream, netutil
@@ -72,14 +73,18 @@
     return stream
 
 
-async def discard_input(stream: iostream.IOStream) -> None:
+async def discarded_input(stream: iostream.IOStream) -> AsyncIterator[int]:
     """Reads and drops all further input without keeping it in memory.
 
+    Yields:
+        The number of bytes of each piece that was dropped.
+
     Raises:
         StreamClosedError: The other end closed the connection.
     """
     while True:
-        await stream.read_bytes(DISCARD_CHUNK_BYTES, partial=True)
+        piece = await stream.read_bytes(DISCARD_CHUNK_BYTES, partial=True)
+        yield len(piece)
         # A read that finds its bytes at once does not yield to the loop.
         await asyncio.sleep(0)
 
--- a/chervilstep/calls.py
+++ b/chervilstep/calls.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from typing import TypeAlias, final
 
+from chervilstep.memory import Holding
 from chervilstep.refusals import Refusal
 from chervilstep.reports import LoadReport, StatedLimit
 from chervilstep.services import Upstream
@@ -12,6 +13,8 @@
 
 #: Header names and values, in order, as received.
 Headers: TypeAlias = tuple[tuple[str, str], ...]
+#: The bytes of a body; long bodies are read in place.
+Body: TypeAlias = bytes | bytearray
 
 
 @final
@@ -36,7 +39,7 @@
         method: str,
         target: str,
         headers: Iterable[tuple[str, str]],
-        body: bytes,
+        body: Body,
         *,
         key_digest: str | None,
         deadline: Deadline | None,
@@ -77,7 +80,7 @@
         return self._headers
 
     @property
-    def body(self) -> bytes:
+    def body(self) -> Body:
         """The complete body."""
         return self._body
 
@@ -239,16 +242,21 @@
 class Answer:
     """A complete answer of an upstream."""
 
-    __slots__ = ('_body', '_headers', '_reason', '_status')
+    __slots__ = ('_body', '_headers', '_holding', '_reason', '_status')
 
     def __init__(
         self,
         status: int,
         reason: str,
         headers: Iterable[tuple[str, str]],
-        body: bytes,
+        body: Body,
+        holding: Holding | None = None,
     ) -> None:
-        """Creates an answer with its end-to-end headers."""
+        """Creates an answer with its end-to-end headers.
+
+        ``holding`` has the bytes of the body, if these are in the budget.
+        """
+        self._holding = holding
         self._status = status
         self._reason = reason
         self._headers = tuple(headers)
@@ -264,13 +272,18 @@
         """The HTTP reason phrase."""
         return self._reason
 
+    @property
+    def holding(self) -> Holding | None:
+        """The bytes of the body in the budget."""
+        return self._holding
+
     @property
     def headers(self) -> Headers:
         """The end-to-end headers."""
         return self._headers
 
     @property
-    def body(self) -> bytes:
+    def body(self) -> Body:
         """The complete body."""
         return self._body
 
--- a/chervilstep/exceptions.py
+++ b/chervilstep/exceptions.py
@@ -66,6 +66,22 @@
         return self._status
 
 
+class OverloadError(RequestError):
+    """A request was not read for lack of memory; it has not run."""
+
+    __slots__ = ('_retry_seconds',)
+
+    def __init__(self, status: int, message: str, retry_seconds: float) -> None:
+        """Creates the error; the caller may retry after ``retry_seconds``."""
+        super().__init__(status, message)
+        self._retry_seconds = retry_seconds
+
+    @property
+    def retry_seconds(self) -> float:
+        """After how many seconds another attempt makes sense."""
+        return self._retry_seconds
+
+
 class StoreError(ChervilstepError):
     """The platform's store failed or sent an invalid answer."""
 
--- a/chervilstep/node.py
+++ b/chervilstep/node.py
@@ -12,6 +12,7 @@
 from chervilstep.latencies import LatencyHistograms
 from chervilstep.loads import LoadTable
 from chervilstep.members import Members
+from chervilstep.memory import ByteBudget
 from chervilstep.messages import Outbox
 from chervilstep.probes import ProbeSchedule
 from chervilstep.quarantine import Quarantine
@@ -42,6 +43,7 @@
         '_events',
         '_latency_histograms',
         '_members',
+        '_memory',
         '_outbox',
         '_connection_trust',
         '_probe_schedule',
@@ -64,6 +66,7 @@
         self._rng = rng
         self._configuration = Configuration()
         self._members = Members(settings.name)
+        self._memory = ByteBudget(settings.memory_limit_bytes)
         self._loads = LoadTable()
         self._slow_start = SlowStartTable()
         self._probe_schedule = ProbeSchedule()
@@ -111,6 +114,11 @@
         """The instances of the fleet."""
         return self._members
 
+    @property
+    def memory(self) -> ByteBudget:
+        """The bytes that are held for requests and answers."""
+        return self._memory
+
     @property
     def loads(self) -> LoadTable:
         """The load of each upstream and service."""
--- a/chervilstep/platform/edge.py
+++ b/chervilstep/platform/edge.py
@@ -6,6 +6,7 @@
 from typing import Final, final
 from urllib.parse import parse_qs
 
+from chervilstep.adapters.buffering import RequestBuffering
 from chervilstep.adapters.edge import EDGES, CallHandler
 from chervilstep.adapters.http1 import PipelineServer
 from chervilstep.adapters.metricspage import MetricsPage, new_metrics_page
@@ -13,7 +14,7 @@
 from chervilstep.adapters.streams import split_address
 from chervilstep.calls import Answer, Call, Reply
 from chervilstep.catalog import ClientLimits
-from chervilstep.exceptions import RequestError
+from chervilstep.exceptions import OverloadError, RequestError
 from chervilstep.node import Node
 from chervilstep.platform import dialect
 from chervilstep.platform.addresses import PLATFORM_ADDRESSES, PlatformAddresses
@@ -80,8 +81,14 @@
         self._addresses: PlatformAddresses = PLATFORM_ADDRESSES.get(
             node.settings.name
         )
+        buffering = RequestBuffering(node, clock)
         self._servers = [
-            PipelineServer(handler, self._client_limits, self._record_malformed)
+            PipelineServer(
+                handler,
+                self._client_limits,
+                self._record_malformed,
+                buffering.new_reservation,
+            )
             for handler in (
                 self.serve,
                 self.resolve,
@@ -146,7 +153,9 @@
                 for name, text in reply.headers
                 if name.lower() not in _HIDDEN_HEADERS
             )
-            return Response(reply.status, headers, reply.body, reply.reason)
+            return Response(
+                reply.status, headers, reply.body, reply.reason, reply.holding
+            )
         return self._refusal_response(call, reply)
 
     async def resolve(self, request: Request) -> Response:
@@ -254,6 +263,9 @@
         return DEFAULT_LIMITS if config is None else config.limits
 
     def _record_malformed(self, fault: RequestError) -> None:
+        if isinstance(fault, OverloadError):
+            # A proper request, which is counted where there was no room.
+            return
         self._node.counters.add('requests_malformed', status=str(fault.status))
         self._node.events.add('request_malformed', fault=str(fault))
 
--- a/chervilstep/refusals.py
+++ b/chervilstep/refusals.py
@@ -160,6 +160,9 @@
 BAD_REQUEST: Final = new_refusal(
     'bad-request', 400, 'The request is not a well-formed HTTP request.'
 )
+MEMORY_FULL: Final = new_refusal(
+    'memory-full', 503, 'This instance has no room for the body now.'
+)
 LEAVING: Final = new_refusal(
     'leaving', 503, 'This instance is stopping; use another address.'
 )
--- a/chervilstep/settings.py
+++ b/chervilstep/settings.py
@@ -7,6 +7,8 @@
 
 DEFAULT_BODY_LIMIT_BYTES: Final = 1024 * 1024
 DEFAULT_HEADER_LIMIT_BYTES: Final = 16 * 1024
+#: For all bodies that an instance holds at a time.
+DEFAULT_MEMORY_BYTES: Final = 160 * 1024 * 1024
 
 #: Longer than the TTL of an answer of the locator, so that callers use other
 #: instances by the end of the phase.
@@ -21,16 +23,18 @@
 class Limits:
     """The size limits of messages that an instance reads."""
 
-    __slots__ = ('_body_bytes', '_header_bytes')
+    __slots__ = ('_body_bytes', '_header_bytes', '_memory_bytes')
 
     def __init__(
         self,
         body_bytes: int = DEFAULT_BODY_LIMIT_BYTES,
         header_bytes: int = DEFAULT_HEADER_LIMIT_BYTES,
+        memory_bytes: float = DEFAULT_MEMORY_BYTES,
     ) -> None:
-        """Creates limits of bodies and heads."""
+        """Creates limits of bodies and heads, and of all bodies."""
         self._body_bytes = body_bytes
         self._header_bytes = header_bytes
+        self._memory_bytes = memory_bytes
 
     @property
     def body_bytes(self) -> int:
@@ -42,6 +46,11 @@
         """The maximum size of the head of a request or an answer."""
         return self._header_bytes
 
+    @property
+    def memory_bytes(self) -> float:
+        """The maximum size of all bodies that are held at a time."""
+        return self._memory_bytes
+
 
 @final
 class ShutdownTimeouts:
@@ -280,6 +289,11 @@
         """The maximum size of the head of a request or an answer."""
         return self._profile.limits.header_bytes
 
+    @property
+    def memory_limit_bytes(self) -> float:
+        """The maximum size of all bodies that are held at a time."""
+        return self._profile.limits.memory_bytes
+
     @property
     def seeds(self) -> Mapping[str, str]:
         """The peer addresses of some instances by name, for discovery."""
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -37,6 +37,7 @@
     some_mutated,
     with_field,
 )
+from tests.memory_builders import a_request_buffering
 from tests.platform_builders import (
     a_configuration,
     a_server_entry,
@@ -97,7 +98,10 @@
     def __init__(self):
         self.requests = []
         self.server = PipelineServer(
-            self.answer, lambda: LIMITS, lambda fault: None
+            self.answer,
+            lambda: LIMITS,
+            lambda fault: None,
+            a_request_buffering().new_reservation,
         )
         self.server.listen(0, '127.0.0.1')
         (socket,) = self.server._sockets.values()
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -9,6 +9,7 @@
 from chervilstep.adapters.http1 import PipelineServer
 from chervilstep.adapters.requests import Response
 from chervilstep.catalog import ClientLimits
+from tests.memory_builders import a_request_buffering
 from tests.wire_builders import (
     a_blocking_client,
     a_raw_client,
@@ -47,7 +48,12 @@
 
 @contextlib.asynccontextmanager
 async def a_server(handler):
-    server = PipelineServer(handler.answer, lambda: LIMITS, lambda error: None)
+    server = PipelineServer(
+        handler.answer,
+        lambda: LIMITS,
+        lambda error: None,
+        a_request_buffering().new_reservation,
+    )
     server.listen(0, '127.0.0.1')
     port = next(iter(server._sockets.values())).getsockname()[1]
     try:
--- a/tests/test_platform_edge.py
+++ b/tests/test_platform_edge.py
@@ -83,7 +83,8 @@
 def serve_one(reply=ANSWER, **headers):
     handler = RecordingHandler(reply)
     response = asyncio.run(an_edge(handler).serve(a_request(**headers)))
-    return handler.calls[0], response.encode(is_head=False, closes=False)
+    parts = response.encode(is_head=False, closes=False)
+    return handler.calls[0], b''.join(parts)
 
 
 def parse_status(encoded):
@@ -146,7 +147,7 @@
 
 def fetch(edge, serve, target):
     response = asyncio.run(serve(a_request(target)))
-    encoded = response.encode(is_head=False, closes=False)
+    (encoded,) = response.encode(is_head=False, closes=False)
     return parse_status(encoded), encoded.partition(b'\r\n\r\n')[2]
 
 
