Send nothing to upstreams that leave or pause by their own word

Callers and operators saw: a server that says so in its answers, or that asks for a rest when it turns a request away, went on getting requests.

Change: the answer of an attempt or of a health check carries a notice. Leaving holds for one start of an upstream and is never undone; a pause holds until its end, and requests come back one by one. Every choice, placement probe and health check passes them over. Calls that no upstream of a paused service can run in time are refused at once, with a Retry-After just behind the pause. The times that make waiting useless have a module of their own, queries/waiting.py.

--- a/chervilstep/adapters/dialect.py
+++ b/chervilstep/adapters/dialect.py
@@ -10,10 +10,17 @@
     DEADLINE_HEADER,
     LIMIT_HEADER,
     NOT_RUN_HEADER,
+    PAUSE_HEADER,
     parse_limit,
+    parse_pause,
 )
 from chervilstep.registry import Registry, new_registry
-from chervilstep.reports import LoadReport, StatedLimit
+from chervilstep.reports import (
+    NO_NOTICE,
+    AvailabilityNotice,
+    LoadReport,
+    StatedLimit,
+)
 from chervilstep.types import MS_PER_SECOND, Instant
 
 #: Header values by case-insensitive name.
@@ -55,6 +62,9 @@
     def stated_limit(self, headers: HeaderMap) -> StatedLimit:
         """Returns what the headers say about the request rate accepted."""
 
+    def notice(self, status: int, headers: HeaderMap) -> AvailabilityNotice:
+        """Returns what an answer says about further requests."""
+
     def cold_seconds(self, headers: HeaderMap) -> float | None:
         """Returns the remaining cold time in a health answer, or None."""
 
@@ -113,6 +123,12 @@
         """Returns the limit in ``LIMIT_HEADER``, or ``NO_LIMIT`` without it."""
         return parse_limit(headers.get(LIMIT_HEADER))
 
+    def notice(self, status: int, headers: HeaderMap) -> AvailabilityNotice:
+        """Returns the pause that a refusal with status 503 asks for."""
+        if status != _STATUS_SHED:
+            return NO_NOTICE
+        return parse_pause(headers.get(PAUSE_HEADER))
+
     def cold_seconds(self, headers: HeaderMap) -> float | None:
         """Returns None: native upstreams do not report a cold time."""
 
--- a/chervilstep/adapters/health.py
+++ b/chervilstep/adapters/health.py
@@ -13,6 +13,7 @@
     record_health_check,
     record_moved_address,
 )
+from chervilstep.commands.notices import record_notice
 from chervilstep.commands.throttling import record_checked_limit
 from chervilstep.exceptions import FetchError
 from chervilstep.node import Node
@@ -21,6 +22,7 @@
     configured_upstreams,
     upstreams_to_check,
 )
+from chervilstep.queries.notices import is_paused
 from chervilstep.services import Service, Upstream
 from chervilstep.types import Deadline, Instant, new_deadline
 
@@ -88,6 +90,9 @@
                 self._forget(name)
         for name, (service, upstream) in upstreams_to_check(self._node).items():
             due = self._next_checks.get(name)
+            if is_paused(self._node, name, now):
+                # A check is a request as well.
+                continue
             if due is None or due.has_passed(now):
                 self._start_check(service, upstream)
 
@@ -154,6 +159,8 @@
             self._dialect.cold_seconds(fetched.headers),
             now,
         )
+        notice = self._dialect.notice(fetched.status, fetched.headers)
+        record_notice(self._node, upstream.name, notice, now)
         limit = self._dialect.stated_limit(fetched.headers)
         record_checked_limit(
             self._node, upstream.name, limit, requested_at, now
--- a/chervilstep/adapters/pool.py
+++ b/chervilstep/adapters/pool.py
@@ -267,10 +267,15 @@
         now = self._clock()
         report = self._dialect.load_report(reader.headers, now)
         limit = self._dialect.stated_limit(reader.headers)
+        notice = self._dialect.notice(answer.status, reader.headers)
         refusal = self._dialect.refusal_ending(answer, reader)
         if refusal is not None:
-            return Outcome(refusal, Verdict.NOT_RUN, now, None, report, limit)
-        return Outcome(Ending.ANSWERED, Verdict.RAN, now, answer, report, limit)
+            return Outcome(
+                refusal, Verdict.NOT_RUN, now, None, report, limit, notice
+            )
+        return Outcome(
+            Ending.ANSWERED, Verdict.RAN, now, answer, report, limit, notice
+        )
 
     def _is_complete(
         self, connection: Connection, reader: AnswerReader
--- a/chervilstep/calls.py
+++ b/chervilstep/calls.py
@@ -6,7 +6,12 @@
 
 from chervilstep.memory import Holding
 from chervilstep.refusals import Refusal
-from chervilstep.reports import LoadReport, StatedLimit
+from chervilstep.reports import (
+    NO_NOTICE,
+    AvailabilityNotice,
+    LoadReport,
+    StatedLimit,
+)
 from chervilstep.services import Upstream
 from chervilstep.snapshot import Customer, Priority, Route
 from chervilstep.types import Deadline, Instant, Verdict
@@ -296,6 +301,7 @@
         '_answer',
         '_ended_at',
         '_ending',
+        '_notice',
         '_report',
         '_stated_limit',
         '_verdict',
@@ -309,8 +315,10 @@
         answer: Answer | None = None,
         report: LoadReport | None = None,
         stated_limit: StatedLimit | None = None,
+        notice: AvailabilityNotice = NO_NOTICE,
     ) -> None:
         """Creates an outcome; ``answer`` is None without an answer."""
+        self._notice = notice
         self._report = report
         self._stated_limit = stated_limit
         self._ending = ending
@@ -343,6 +351,11 @@
         """What the upstream said about its limit; None without an answer."""
         return self._stated_limit
 
+    @property
+    def notice(self) -> AvailabilityNotice:
+        """What the upstream said about further requests."""
+        return self._notice
+
     @property
     def answer(self) -> Answer | None:
         """The complete answer, or None."""
--- a/chervilstep/health.py
+++ b/chervilstep/health.py
@@ -29,10 +29,13 @@
         '_last_outcome_at',
         '_failure_rate',
         '_failures',
+        '_is_leaving',
         '_other_in_flight',
+        '_paused_until',
         '_probe_tokens',
         '_probe_tokens_at',
         '_report',
+        '_trial_answers',
     )
 
     def __init__(self) -> None:
@@ -43,6 +46,9 @@
         self._failure_rate = float(0)
         self._last_outcome_at: Instant = 0
         self._closed_until = EXPIRED
+        self._is_leaving = False
+        self._paused_until = EXPIRED
+        self._trial_answers: int | None = None
         self._cold_until = EXPIRED
         self._cold_tokens = float(1)
         self._cold_tokens_at: Instant = 0
@@ -97,6 +103,21 @@
         """When the tokens for placement probes were updated."""
         return self._probe_tokens_at
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the upstream has said itself that it ends soon."""
+        return self._is_leaving
+
+    @property
+    def paused_until(self) -> Deadline:
+        """Until when the upstream wants no request of this instance."""
+        return self._paused_until
+
+    @property
+    def trial_answers(self) -> int | None:
+        """The answers since the last pause; None once it is forgotten."""
+        return self._trial_answers
+
     def failure_rate(self, now: Instant) -> float:
         """Returns the moving average of failures, which decays with time."""
         age = max(0, now - self._last_outcome_at)
@@ -126,6 +147,19 @@
         """Holds back requests until ``closed_until``."""
         self._closed_until = closed_until
 
+    def mark_leaving(self) -> None:
+        """Marks the upstream as leaving, for as long as it runs."""
+        self._is_leaving = True
+
+    def pause(self, paused_until: Deadline) -> None:
+        """Holds back all requests; a trial with few of them follows."""
+        self._paused_until = self._paused_until.later(paused_until)
+        self._trial_answers = 0
+
+    def update_trial(self, answers: int | None) -> None:
+        """Stores the answers since the last pause, or None to forget it."""
+        self._trial_answers = answers
+
     def mark_cold(self, cold_until: Deadline) -> None:
         """Marks the upstream as cold until ``cold_until``."""
         self._cold_until = cold_until
--- a/chervilstep/platform/dialect.py
+++ b/chervilstep/platform/dialect.py
@@ -6,8 +6,18 @@
 from chervilstep.adapters.answers import AnswerReader
 from chervilstep.adapters.dialect import DIALECTS, HeaderMap
 from chervilstep.calls import Answer, Attempt, Ending, Headers
-from chervilstep.queries.headers import parse_limit, parse_milliseconds
-from chervilstep.reports import LoadReport, StatedLimit
+from chervilstep.queries.headers import (
+    PAUSE_HEADER,
+    parse_limit,
+    parse_milliseconds,
+    parse_pause,
+)
+from chervilstep.reports import (
+    NO_NOTICE,
+    AvailabilityNotice,
+    LoadReport,
+    StatedLimit,
+)
 from chervilstep.types import MS_PER_SECOND, Instant
 
 PLATFORM_DIALECT: Final = 'platform'
@@ -21,11 +31,15 @@
 LOAD_HEADER: Final = 'X-Server-Load'
 #: The requests per second that the server accepts from all instances.
 LIMIT_HEADER: Final = 'Server-Limit'
+#: In all answers of a server that ends soon.
+LEAVING_HEADER: Final = 'Server-Leaving'
+LEAVING_VALUE: Final = '1'
 #: The identity of the server that sends a health answer.
 SERVER_IDENTITY_HEADER: Final = 'X-Instance-Id'
 #: How long the server remains cold, in health answers.
 COLD_MS_HEADER: Final = 'X-Cold-Start-Ms'
 
+STATUS_UNAVAILABLE: Final = 503
 #: Another server has the address; it did not run the request.
 STATUS_MOVED: Final = 421
 #: The fourth number of a load report when work takes as long as usual.
@@ -92,6 +106,19 @@
         """Returns the limit in ``LIMIT_HEADER``, or ``NO_LIMIT`` without it."""
         return parse_limit(headers.get(LIMIT_HEADER))
 
+    def notice(self, status: int, headers: HeaderMap) -> AvailabilityNotice:
+        """Returns whether the server leaves, and the pause of a status 503."""
+        pause = NO_NOTICE
+        if status == STATUS_UNAVAILABLE:
+            pause = parse_pause(headers.get(PAUSE_HEADER))
+        if headers.get(LEAVING_HEADER) != LEAVING_VALUE:
+            return pause
+        return AvailabilityNotice(
+            is_leaving=True,
+            pause_seconds=pause.pause_seconds,
+            unreadable_text=pause.unreadable_text,
+        )
+
     def cold_seconds(self, headers: HeaderMap) -> float | None:
         """Returns the remaining cold time in a health answer, or None."""
         remaining_ms = parse_milliseconds(headers.get(COLD_MS_HEADER))
--- a/chervilstep/platform/edge.py
+++ b/chervilstep/platform/edge.py
@@ -12,7 +12,7 @@
 from chervilstep.adapters.metricspage import MetricsPage, new_metrics_page
 from chervilstep.adapters.requests import Request, Response
 from chervilstep.adapters.streams import split_address
-from chervilstep.calls import Answer, Call, Reply
+from chervilstep.calls import Answer, Call, Headers, Reply
 from chervilstep.catalog import ClientLimits
 from chervilstep.exceptions import OverloadError, RequestError
 from chervilstep.node import Node
@@ -47,7 +47,9 @@
 )
 #: Headers of servers that concern only the instances. A limit is that of all
 #: instances together, so a client must not take it for its own.
-_HIDDEN_HEADERS: Final = frozenset((dialect.LIMIT_HEADER.lower(),))
+_HIDDEN_HEADERS: Final = frozenset(
+    (dialect.LIMIT_HEADER.lower(), dialect.LEAVING_HEADER.lower())
+)
 #: Statuses whose meaning is that the request has not run.
 _NOT_RUN_STATUSES: Final = frozenset((400, 401, 403, 404, 413, 429, 431, 503))
 #: Statuses of refusals of requests that may have run.
@@ -148,11 +150,7 @@
             reply = INTERNAL_ERROR
         self._log_reply(call, reply, started_at)
         if isinstance(reply, Answer):
-            headers = tuple(
-                (name, text)
-                for name, text in reply.headers
-                if name.lower() not in _HIDDEN_HEADERS
-            )
+            headers = _forwarded_headers(reply)
             return Response(
                 reply.status, headers, reply.body, reply.reason, reply.holding
             )
@@ -270,6 +268,18 @@
         self._node.events.add('request_malformed', fault=str(fault))
 
 
+def _forwarded_headers(answer: Answer) -> Headers:
+    hidden = _HIDDEN_HEADERS
+    if answer.status == dialect.STATUS_UNAVAILABLE:
+        # The pause of one server for this instance; others may serve the client.
+        hidden |= {header_rules.PAUSE_HEADER.lower()}
+    return tuple(
+        (name, text)
+        for name, text in answer.headers
+        if name.lower() not in hidden
+    )
+
+
 def _wire_status(refusal: Refusal) -> int:
     """Returns the status to send, by whether the request may have run."""
     if refusal.verdict is not Verdict.NOT_RUN:
--- a/chervilstep/queries/choice.py
+++ b/chervilstep/queries/choice.py
@@ -3,6 +3,7 @@
 from chervilstep.hooks import POLICIES
 from chervilstep.node import Node
 from chervilstep.queries import policies
+from chervilstep.queries.notices import accepts_now
 from chervilstep.queries.slowstart import upstreams_in_service
 from chervilstep.queries.throttling import within_limits
 from chervilstep.services import Service, Upstream
@@ -19,12 +20,25 @@
     ``tried`` names the upstreams of earlier attempts. The policy of the
     service selects among the usable upstreams that are within their limits.
     """
-    usable = within_limits(node, usable_upstreams(node, service, tried), now)
+    usable = accepting_upstreams(
+        node, usable_upstreams(node, service, tried), now
+    )
     if not usable:
         return None
     return POLICIES.find(service.policy)(node, service, usable, now)
 
 
+def accepting_upstreams(
+    node: Node, upstreams: tuple[Upstream, ...], now: Instant
+) -> tuple[Upstream, ...]:
+    """Returns the upstreams whose limits and pauses allow a request now."""
+    return tuple(
+        upstream
+        for upstream in within_limits(node, upstreams, now)
+        if accepts_now(node, upstream, now)
+    )
+
+
 def has_usable_upstream(
     node: Node, service: Service, tried: frozenset[str], now: Instant
 ) -> bool:
--- a/chervilstep/queries/explaining.py
+++ b/chervilstep/queries/explaining.py
@@ -7,6 +7,7 @@
 from chervilstep.node import Node
 from chervilstep.queries.admission import effective_deadline
 from chervilstep.queries.choice import choose_upstream
+from chervilstep.queries.notices import has_announced_leaving, pause_end
 from chervilstep.queries.routing import resolve
 from chervilstep.queries.throttling import describe_limits
 from chervilstep.refusals import (
@@ -66,6 +67,7 @@
             return Explanation(tuple(steps), _describe_refusal(refusal))
         steps.append(f'check {check.__name__} lets it pass')
     steps.extend(_describe_limits(node, route, now))
+    steps.extend(_describe_notices(node, route, now))
     return Explanation(tuple(steps), _describe_destination(node, route, now))
 
 
@@ -101,6 +103,18 @@
     ]
 
 
+def _describe_notices(node: Node, route: Route, now: Instant) -> list[str]:
+    service = node.snapshot.services.get(route.service)
+    steps = []
+    for upstream in service.upstreams if service else ():
+        if has_announced_leaving(node, upstream.name):
+            steps.append(f'{upstream.name} has said that it leaves')
+        seconds = pause_end(node, upstream.name).remaining(now)
+        if seconds:
+            steps.append(f'{upstream.name} wants nothing for {seconds:.1f} s')
+    return steps
+
+
 def _describe_destination(node: Node, route: Route, now: Instant) -> str:
     service = node.snapshot.services.get(route.service)
     if service is None:
--- a/chervilstep/queries/headers.py
+++ b/chervilstep/queries/headers.py
@@ -9,6 +9,8 @@
 from chervilstep.calls import Headers
 from chervilstep.reports import (
     NO_LIMIT,
+    NO_NOTICE,
+    AvailabilityNotice,
     StatedLimit,
     new_stated_limit,
     new_unreadable_limit,
@@ -29,12 +31,16 @@
 #: Set by an overloaded upstream: the requests per second that it accepts from all
 #: instances together.
 LIMIT_HEADER: Final = 'X-Call-Limit'
+#: Set by an upstream that turns requests away: for how many seconds it wants none.
+PAUSE_HEADER: Final = 'Retry-After'
 
 #: Longer times are not told apart; this is about eleven days.
 MAX_MILLISECONDS: Final = 10**9
 #: Python refuses to convert numbers of thousands of digits.
 _MILLISECONDS_PATTERN: Final = re.compile('[0-9]{1,20}')
 _LENGTH_PATTERN: Final = re.compile('[0-9]{1,18}')
+#: Longer pauses are lowered to this. Afterwards a single request finds out.
+MAX_PAUSE_SECONDS: Final = 3600
 _LIMIT_PATTERN: Final = re.compile(r'[0-9]{1,9}(?:\.[0-9]{1,9})?')
 _BEARER_PREFIX: Final = 'bearer '
 
@@ -132,6 +138,21 @@
     return new_stated_limit(float(text))
 
 
+def parse_pause(text: str | None) -> AvailabilityNotice:
+    """Returns the pause in a header value, ``NO_NOTICE`` without one.
+
+    The value is a decimal number of seconds; of several, the greatest counts. A
+    date (RFC 9110, section 10.2.3) is unreadable: clocks of instances may jump.
+    """
+    if text is None:
+        return NO_NOTICE
+    parts = [part.strip() for part in text.split(',')]
+    if not all(_LIMIT_PATTERN.fullmatch(part) for part in parts):
+        return AvailabilityNotice(unreadable_text=text)
+    seconds = min(max(map(float, parts)), MAX_PAUSE_SECONDS)
+    return AvailabilityNotice(pause_seconds=seconds)
+
+
 def _remove_headers(
     headers: Iterable[tuple[str, str]], removed: frozenset[str]
 ) -> Headers:
--- a/chervilstep/queries/health.py
+++ b/chervilstep/queries/health.py
@@ -6,6 +6,7 @@
 from chervilstep.node import Node
 from chervilstep.queries.assignment import rendezvous_instance
 from chervilstep.queries.fleet import reachable_zone_peers
+from chervilstep.queries.slowstart import upstreams_in_service
 from chervilstep.queries.soonest import SOONEST
 from chervilstep.services import Service, Upstream
 
@@ -25,10 +26,8 @@
         upstream.name: (service, upstream)
         for service in node.snapshot.services.values()
         if service.policy == SOONEST and service.health_path
-        for upstream in service.upstreams
+        for upstream in upstreams_in_service(node, service)
         if upstream.zone == node.settings.zone
-        and not upstream.is_leaving
-        and not node.snapshot.is_withdrawn(upstream.zone)
         and rendezvous_instance(live, f'health\0{upstream.name}')
         == node.members.self_name
     }
--- a/chervilstep/queries/placement_probes.py
+++ b/chervilstep/queries/placement_probes.py
@@ -9,11 +9,10 @@
 
 from chervilstep.node import Node
 from chervilstep.progress import Progress
-from chervilstep.queries.choice import usable_upstreams
+from chervilstep.queries.choice import accepting_upstreams, usable_upstreams
 from chervilstep.queries.coldstart import is_within_cold_limit
 from chervilstep.queries.fleet import fleet_size
 from chervilstep.queries.soonest import SOONEST, expected_cost, is_healthy
-from chervilstep.queries.throttling import within_limits
 from chervilstep.services import Service, Upstream
 from chervilstep.types import Instant
 
@@ -86,7 +85,7 @@
     usable = usable_upstreams(node, service, progress.tried_upstreams)
     costs = {
         upstream: cost
-        for upstream in within_limits(node, usable, now)
+        for upstream in accepting_upstreams(node, usable, now)
         if is_healthy(node, upstream, now)
         and is_within_cold_limit(node, service, upstream, now)
         and (cost := expected_cost(node, service, upstream, now)) is not None
--- a/chervilstep/queries/queueing.py
+++ b/chervilstep/queries/queueing.py
@@ -14,8 +14,12 @@
     usable_upstreams,
 )
 from chervilstep.queries.poison import is_quarantined
-from chervilstep.queries.shutdown import outlasts_shutdown
 from chervilstep.queries.throttling import expected_rate
+from chervilstep.queries.waiting import (
+    futile_wait,
+    mean_latency,
+    tail_latency,
+)
 from chervilstep.queues import (
     GRANT_COSTS,
     PriorityLevel,
@@ -24,7 +28,6 @@
     Waiter,
 )
 from chervilstep.refusals import (
-    LEAVING,
     NO_UPSTREAM,
     QUARANTINED,
     QUEUE_FULL,
@@ -67,10 +70,9 @@
 ) -> Refusal | None:
     """Returns the refusal of a call that should not be queued, or None."""
     ticket = progress.ticket
-    if ticket.deadline.has_passed(now):
-        return QUEUE_TIMEOUT
-    if outlasts_shutdown(node, ticket.deadline):
-        return LEAVING
+    refusal = futile_wait(node, progress, now)
+    if refusal is not None:
+        return refusal
     if not _has_usable_upstream(
         node, ticket.route.service, progress.tried_upstreams, now
     ):
@@ -179,22 +181,6 @@
     return interval * grants_ahead(queue, progress)
 
 
-def mean_latency(node: Node, service: str) -> float:
-    """Returns the mean latency of ``service`` in seconds; zero if unknown.
-
-    A waiter with less time left would probably time out at the upstream. That
-    wastes a slot and leaves unknown whether the request has run.
-    """
-    estimate = node.latency_estimates.by_service.get(service)
-    return (estimate.mean_seconds or 0) if estimate else 0
-
-
-def tail_latency(node: Node, service: str) -> float:
-    """Returns the tail latency of ``service`` in seconds; zero if unknown."""
-    estimate = node.latency_estimates.by_service.get(service)
-    return (estimate.tail_seconds or 0) if estimate else 0
-
-
 def grants_ahead(queue: ServiceQueue, progress: Progress) -> float:
     """Estimates how many waiters are granted before a new one of a customer.
 
@@ -260,7 +246,7 @@
         tried = waiter.progress.tried_upstreams
         if tried not in rates:
             rates[tried] = rate_within_limits(node, service, tried, now)
-        refusal = _waiting_refusal(node, waiter, now)
+        refusal = futile_wait(node, waiter.progress, now)
         if refusal is not None:
             decisions.append(QueueDecision(waiter, refusal))
         elif not rates[tried]:
@@ -289,15 +275,6 @@
     )
 
 
-def _waiting_refusal(
-    node: Node, waiter: Waiter, now: Instant
-) -> Refusal | None:
-    """Returns the refusal of a waiter that is too late, or None."""
-    if waiter.deadline.has_passed(now):
-        return QUEUE_TIMEOUT
-    return LEAVING if outlasts_shutdown(node, waiter.deadline) else None
-
-
 def _last_waiter(
     queue: ServiceQueue, customer: str, highest_priority: int
 ) -> Waiter | None:
--- a/chervilstep/queries/retry_after.py
+++ b/chervilstep/queries/retry_after.py
@@ -6,6 +6,7 @@
 from chervilstep import refusals
 from chervilstep.calls import Call
 from chervilstep.node import Node
+from chervilstep.queries.notices import first_pause_end
 from chervilstep.queries.queueing import rate_within_limits
 from chervilstep.queries.rates import fleet_tokens, report_coverage
 from chervilstep.queries.routing import resolve
@@ -32,6 +33,8 @@
 MAX_JITTER_FACTOR: Final = 2.0
 #: The longest delay for a customer that has used up its rate.
 MAX_RATE_RETRY_SECONDS: Final = 5.0
+#: Callers return one after another when a pause ends.
+MAX_RETURN_JITTER_SECONDS: Final = 0.2
 #: The bounds of the delay while all upstreams of a service state limits. Limits
 #: can end at any moment, so callers return early enough to benefit.
 MIN_LIMITED_RETRY_SECONDS: Final = 0.1
@@ -46,6 +49,8 @@
         return _seconds_until_token(node, call, now)
     if refusal is refusals.UPSTREAMS_LIMITED:
         return _seconds_within_limits(node, call, now)
+    if refusal is refusals.UPSTREAMS_PAUSED:
+        return _seconds_until_return(node, call, now)
     seconds = RETRY_SECONDS.get(refusal)
     if not seconds:
         return seconds
@@ -67,6 +72,20 @@
     )
 
 
+def _seconds_until_return(node: Node, call: Call, now: Instant) -> float:
+    """Returns when the first upstream ends its pause.
+
+    The jitter is added to the pause, so that nobody returns within it.
+    """
+    route = resolve(node.snapshot, call.method, call.path, call.host)
+    service = node.snapshot.services.get(
+        route.service if isinstance(route, Route) else ''
+    )
+    first = first_pause_end(node, service.upstreams if service else (), now)
+    pause_seconds = first.remaining(now) if first else 0
+    return pause_seconds + node.rng.uniform(0, MAX_RETURN_JITTER_SECONDS)
+
+
 def _seconds_within_limits(node: Node, call: Call, now: Instant) -> float:
     """Returns when the calls that wait here have probably been sent."""
     route = resolve(node.snapshot, call.method, call.path, call.host)
--- a/chervilstep/queries/slowstart.py
+++ b/chervilstep/queries/slowstart.py
@@ -11,6 +11,7 @@
     own_slots,
     rendezvous_instance,
 )
+from chervilstep.queries.notices import has_announced_leaving
 from chervilstep.services import Service, Upstream
 from chervilstep.slowstart import COLD_SLOTS, WARM_SLOTS, SlowStart
 from chervilstep.snapshot import Snapshot
@@ -195,7 +196,9 @@
     return tuple(
         upstream
         for upstream in service.upstreams
-        if not upstream.is_leaving and not snapshot.is_withdrawn(upstream.zone)
+        if not upstream.is_leaving
+        and not snapshot.is_withdrawn(upstream.zone)
+        and not has_announced_leaving(node, upstream.name)
     )
 
 
--- a/chervilstep/refusals.py
+++ b/chervilstep/refusals.py
@@ -112,6 +112,11 @@
     503,
     'All upstreams limit their requests, and none is left in time.',
 )
+UPSTREAMS_PAUSED: Final = new_refusal(
+    'upstreams-paused',
+    503,
+    'All upstreams pause until it is too late for the request.',
+)
 QUARANTINED: Final = new_refusal(
     'quarantined', 503, 'Requests like this one crashed several upstreams.'
 )
--- a/chervilstep/reports.py
+++ b/chervilstep/reports.py
@@ -97,3 +97,41 @@
 def new_unreadable_limit(text: str) -> StatedLimit:
     """Creates a statement that cannot be read as a limit."""
     return StatedLimit(None, text)
+
+
+@final
+class AvailabilityNotice:
+    """What one answer says about further requests to its upstream."""
+
+    __slots__ = ('_is_leaving', '_pause_seconds', '_unreadable_text')
+
+    def __init__(
+        self,
+        *,
+        is_leaving: bool = False,
+        pause_seconds: float = 0,
+        unreadable_text: str | None = None,
+    ) -> None:
+        """Creates a notice; by default it says nothing."""
+        self._is_leaving = is_leaving
+        self._pause_seconds = pause_seconds
+        self._unreadable_text = unreadable_text
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the upstream ends soon and wants no new requests."""
+        return self._is_leaving
+
+    @property
+    def pause_seconds(self) -> float:
+        """For how long this instance must send nothing; zero for no pause."""
+        return self._pause_seconds
+
+    @property
+    def unreadable_text(self) -> str | None:
+        """The text of a pause that is not a number of seconds, else None."""
+        return self._unreadable_text
+
+
+#: The notice of an answer that says nothing about further requests.
+NO_NOTICE: Final = AvailabilityNotice()
