Let a cancelled attempt end while it waits for room

Cause, found by the repeated run of test_memory.py: Tornado takes every exception of the reader of a body for a fault, also a cancellation, logs it and raises another. An attempt that was cancelled while its answer waited for room went on as a failed one.

Change: the connections to upstreams deliver bodies without that. Bodies of requests are only reserved where there are any. Tornado yields to the loop between small chunks of answers by itself, so the reader no longer does.

--- a/chervilstep/adapters/answers.py
+++ b/chervilstep/adapters/answers.py
@@ -1,25 +1,40 @@
 """Reads HTTP responses of upstreams and checks their completeness."""
 
-import asyncio
 import re
 from collections.abc import Awaitable, Callable
 from typing import Final, final
 
-from tornado import httputil
+from tornado import http1connection, httputil
 
 from chervilstep.adapters.buffering import Reservation
 from chervilstep.adapters.requests import MAX_COPIED_BYTES
 from chervilstep.calls import Answer, Headers
 from chervilstep.queries.headers import answer_headers, parse_content_length
 
-#: A turn of the event loop reads at most so many chunks of one body.
-CHUNKS_PER_TURN: Final = 32
 #: Answers are much shorter than this, unless something is wrong.
 OVERLONG_BYTES: Final = 4 * 1024 * 1024
 _KEEP_ALIVE_TIMEOUT: Final = re.compile(r'timeout=(\d+)')
 _STATUSES_WITHOUT_BODY: Final = frozenset((204, 304))
 
 
+class AnswerConnection(http1connection.HTTP1Connection):
+    """A client connection whose reader may make it wait for room.
+
+    The base class takes every exception of the reader for a fault, logs it and
+    raises another one. A cancelled attempt must end as cancelled.
+    """
+
+    # The base class has a __dict__, and this class adds no attributes.
+    __slots__ = ()
+
+    async def _deliver_body(
+        self, delegate: httputil.HTTPMessageDelegate, data: bytes
+    ) -> None:
+        stored = delegate.data_received(data)
+        if stored is not None:
+            await stored
+
+
 @final
 class AnswerReader(httputil.HTTPMessageDelegate):
     """Collects one HTTP response and builds an answer when it is complete.
@@ -32,7 +47,6 @@
         '_abort',
         '_body',
         '_body_limit_bytes',
-        '_chunk_count',
         '_headers',
         '_is_aborted',
         '_is_finished',
@@ -64,7 +78,6 @@
         self._abort = abort
         self._reservation = reservation
         self._body = bytearray()
-        self._chunk_count = 0
         self._is_aborted = False
         self._size = 0
         self._headers = httputil.HTTPHeaders()
@@ -159,9 +172,7 @@
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Stores a chunk of the body; the next one waits for the result."""
-        self._chunk_count += 1
-        has_turn = self._chunk_count % CHUNKS_PER_TURN
-        if has_turn and self._reserve_now(len(chunk)):
+        if self._reserve_now(len(chunk)):
             self._body += chunk
             return None
         return self._store_later(chunk)
@@ -174,11 +185,7 @@
         return self._reservation is None or self._reservation.try_extend(size)
 
     async def _store_later(self, chunk: bytes) -> None:
-        """Stores a chunk once there is room, or closes the connection.
-
-        Small chunks that follow each other at once would hold up the loop.
-        """
-        await asyncio.sleep(0)
+        """Stores a chunk once there is room, or closes the connection."""
         if self._reservation is None or await self._reservation.extend(
             len(chunk)
         ):
--- a/chervilstep/adapters/http1.py
+++ b/chervilstep/adapters/http1.py
@@ -33,6 +33,7 @@
     has_pending_input,
     ignore_exception,
 )
+from chervilstep.calls import Body
 from chervilstep.exceptions import RequestError
 from chervilstep.types import Deadline, Instant, new_deadline
 
@@ -134,22 +135,36 @@
         self._is_receiving = True
         start, headers = parse_head(head)
         framing = parse_framing(headers, limits.body_bytes)
-        reservation = self._server.new_reservation(headers)
-        if framing.length:
+        body: Body = b''
+        holding = None
+        if framing.has_body:
+            reservation = self._server.new_reservation(headers)
+            body = await self._read_body(headers, framing, reservation)
+            holding = reservation.holding
+        if headers.get('Connection', '').lower() == 'close':
+            self._is_closing = True
+        if start.version == 'HTTP/1.0':
+            self._is_closing = True
+        return Request(start.method, start.path, headers, body, holding)
+
+    async def _read_body(
+        self,
+        headers: httputil.HTTPHeaders,
+        framing: Framing,
+        reservation: RequestReservation,
+    ) -> Body:
+        if not framing.is_chunked:
             await reservation.extend(framing.length)
         await self._send_continue(headers, framing)
         self._restart_timer()
         body = await read_body(
-            self._stream, framing, limits.body_bytes, reservation.extend
+            self._stream,
+            framing,
+            self._server.limits.body_bytes,
+            reservation.extend,
         )
         self._cancel_timer()
-        if headers.get('Connection', '').lower() == 'close':
-            self._is_closing = True
-        if start.version == 'HTTP/1.0':
-            self._is_closing = True
-        return Request(
-            start.method, start.path, headers, body, reservation.holding
-        )
+        return body
 
     async def _send_continue(
         self, headers: httputil.HTTPHeaders, framing: Framing
--- a/chervilstep/adapters/keepalive.py
+++ b/chervilstep/adapters/keepalive.py
@@ -5,7 +5,7 @@
 
 from tornado import http1connection, httputil, iostream
 
-from chervilstep.adapters.answers import AnswerReader
+from chervilstep.adapters.answers import AnswerConnection, AnswerReader
 from chervilstep.adapters.streams import (
     InspectableStream,
     connect,
@@ -106,7 +106,7 @@
 
     async def _exchange(self, target: str) -> FetchedAnswer | None:
         stream = await self._open_stream()
-        http = http1connection.HTTP1Connection(stream, True, self._params)
+        http = AnswerConnection(stream, True, self._params)
         headers = httputil.HTTPHeaders({'Host': self._address})
         start = httputil.RequestStartLine('GET', target, 'HTTP/1.1')
         written = http.write_headers(start, headers)
--- a/chervilstep/adapters/pool.py
+++ b/chervilstep/adapters/pool.py
@@ -7,7 +7,7 @@
 
 from tornado import http1connection, httputil, iostream
 
-from chervilstep.adapters.answers import AnswerReader
+from chervilstep.adapters.answers import AnswerConnection, AnswerReader
 from chervilstep.adapters.buffering import Reservation
 from chervilstep.adapters.dialect import new_dialect
 from chervilstep.adapters.requests import MAX_COPIED_BYTES
@@ -167,7 +167,7 @@
             return self._failed_outcome(
                 Ending.LOST_BEFORE_WRITE, Verdict.NOT_RUN
             )
-        http = http1connection.HTTP1Connection(stream, True, self._params)
+        http = AnswerConnection(stream, True, self._params)
         reader = self._new_reader(attempt, stream)
         try:
             async with asyncio.timeout(
@@ -188,7 +188,7 @@
 
     async def _read_answer(
         self,
-        http: http1connection.HTTP1Connection,
+        http: AnswerConnection,
         attempt: Attempt,
         reader: AnswerReader,
         stream: InspectableStream,
@@ -198,7 +198,7 @@
             await http.read_response(reader)
             if self._dialect.matches_attempt(attempt, reader.headers):
                 return reader
-            http = http1connection.HTTP1Connection(stream, True, self._params)
+            http = AnswerConnection(stream, True, self._params)
             # The request is already sent; otherwise the reader would wait for
             # its end.
             http.finish()
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -209,6 +209,32 @@
     assert asyncio.run(scenario()) < MAX_TURN_SECONDS
 
 
+def test_attempt_that_waits_for_room_is_cancelled_as_any_other(caplog):
+    """Guards against a cancelled attempt that went on as a failed one."""
+    node = a_node_with_memory(LIMIT_BYTES)
+    content = Content.ANSWERS
+    full = hold(node, 68 * MIB, content=content, party='strike')
+
+    async def scenario():
+        upstream = EndlessUpstream(*ENDLESS_ANSWERS['body'])
+        pool = an_answer_pool(node)
+        server = an_upstream(port=await upstream.start())
+        sending = asyncio.create_task(pool.send(a_live_attempt(server)))
+        await asyncio.sleep(0.15)
+        assert not sending.done()
+        sending.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await sending
+        timed_out = await pool.send(a_live_attempt(server, seconds=0.1))
+        assert timed_out.ending is Ending.TIMED_OUT
+        pool.close()
+        await upstream.stop()
+
+    asyncio.run(scenario())
+    assert full
+    assert not caplog.records
+
+
 @pytest.mark.parametrize('kind', ENDLESS_ANSWERS)
 def test_answers_without_end_stay_within_the_budget(kind):
     """Guards against servers whose endless answers filled the memory."""
