--- a/tests/calling_builders.py
+++ b/tests/calling_builders.py
@@ -29,7 +29,7 @@
     set_instances,
     some_instances,
 )
-from tests.wire_builders import close_writer
+from tests.wire_builders import AnsweringUpstream, request_id_of
 
 load_capabilities()
 
@@ -37,40 +37,22 @@
 PUMP_PERIOD_SECONDS = 0.005
 
 
-class StatingUpstream:
+class StatingUpstream(AnsweringUpstream):
     """Answers every request at once, with its ID and the limit, if any."""
 
     def __init__(self, limit=None):
+        super().__init__()
         self.limit = limit
         self.arrived_at = []
-        self._writers = []
-
-    async def start(self):
-        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
-        return self._server.sockets[0].getsockname()[1]
-
-    async def stop(self):
-        self._server.close()
-        for writer in self._writers:
-            await close_writer(writer)
-
-    async def _serve(self, reader, writer):
-        self._writers.append(writer)
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
-            while True:
-                head = await reader.readuntil(b'\r\n\r\n')
-                self.arrived_at.append(time.monotonic())
-                writer.write(self._answer(head))
-                await writer.drain()
-
-    def _answer(self, head):
-        request_id = head.partition(b'X-Request-Id: ')[2].partition(b'\r')[0]
+
+    async def answer(self, head):
+        self.arrived_at.append(time.monotonic())
         limit = b''
         if self.limit is not None:
             limit = f'Server-Limit: {self.limit}\r\n'.encode()
         return (
             b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Request-Id: '
-            + request_id
+            + request_id_of(head)
             + b'\r\n'
             + limit
             + b'\r\nok'
--- a/tests/notice_builders.py
+++ b/tests/notice_builders.py
@@ -1,7 +1,5 @@
 """Builders of upstreams that leave or pause, and of answers that say so."""
 
-import asyncio
-import contextlib
 import time
 
 from chervilstep.calls import Answer, Ending, Outcome
@@ -11,7 +9,7 @@
 from chervilstep.services import Service
 from chervilstep.types import Verdict
 from tests.builders import a_node, a_snapshot, an_attempt, an_upstream
-from tests.wire_builders import close_writer
+from tests.wire_builders import AnsweringUpstream, request_id_of
 
 #: The stand-in waits this long before it counts a request as late: requests cross
 #: the answer that asks for a pause.
@@ -54,38 +52,21 @@
 LEAVES = AvailabilityNotice(is_leaving=True)
 
 
-class NotingUpstream:
+class NotingUpstream(AnsweringUpstream):
     """An upstream that can pause, or say that it leaves, from a moment on."""
 
     def __init__(self, pause_seconds=0, says_leaving=False):
+        super().__init__()
         self.pause_seconds = pause_seconds
         self.says_leaving = says_leaving
         self.is_active = False
         self.said_at = {}
         self.late = []
         self.arrivals = 0
-        self._writers = []
-
-    async def start(self):
-        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
-        return self._server.sockets[0].getsockname()[1]
-
-    async def stop(self):
-        self._server.close()
-        for writer in self._writers:
-            await close_writer(writer)
-
-    async def _serve(self, reader, writer):
-        self._writers.append(writer)
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
-            while True:
-                head = await reader.readuntil(b'\r\n\r\n')
-                writer.write(self._answer(head))
-                await writer.drain()
-
-    def _answer(self, head):
-        identity = _header(head, b'X-Request-Id')
-        #: The stand-in for an instance: the fleet's calls name it.
+
+    async def answer(self, head):
+        identity = request_id_of(head)
+        # The calls of this test name the instance that sends them.
         sender = identity.partition(b'@')[2]
         now = time.monotonic()
         self.arrivals += 1
@@ -116,10 +97,6 @@
         )
 
 
-def _header(head, name):
-    return head.partition(name + b': ')[2].partition(b'\r')[0]
-
-
 def _ok(identity, more=b''):
     return (
         b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Request-Id: '
--- a/tests/stop_builders.py
+++ b/tests/stop_builders.py
@@ -27,7 +27,11 @@
     a_snapshot,
     an_upstream,
 )
-from tests.wire_builders import close_writer
+from tests.wire_builders import (
+    AnsweringUpstream,
+    close_writer,
+    request_id_of,
+)
 
 HOST = '127.0.0.1'
 
@@ -49,38 +53,23 @@
     return node
 
 
-class SlowUpstream:
+class SlowUpstream(AnsweringUpstream):
     """Runs each request for a fixed time, and records its identity."""
 
     def __init__(self, run_seconds):
+        super().__init__()
         self._run_seconds = run_seconds
-        self._writers = []
         self.reached = set()
 
-    async def start(self):
-        self._server = await asyncio.start_server(self._serve, HOST, 0)
-        return self._server.sockets[0].getsockname()[1]
-
-    async def stop(self):
-        self._server.close()
-        for writer in self._writers:
-            await close_writer(writer)
-
-    async def _serve(self, reader, writer):
-        self._writers.append(writer)
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
-            while True:
-                head = await reader.readuntil(b'\r\n\r\n')
-                identity = head.partition(b'X-Request-Id: ')[2]
-                identity = identity.partition(b'\r')[0]
-                self.reached.add(identity.decode())
-                await asyncio.sleep(self._run_seconds)
-                writer.write(
-                    b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Request-Id: '
-                    + identity
-                    + b'\r\n\r\nok'
-                )
-                await writer.drain()
+    async def answer(self, head):
+        identity = request_id_of(head)
+        self.reached.add(identity.decode())
+        await asyncio.sleep(self._run_seconds)
+        return (
+            b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Request-Id: '
+            + identity
+            + b'\r\n\r\nok'
+        )
 
 
 def a_platform_instance(upstream_port, timeouts, route_seconds):
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -82,15 +82,8 @@
 
 
 @contextlib.asynccontextmanager
-async def a_server(node, seconds=0.0):
-    """Yields the port of a server that answers each body with its length."""
-
-    async def answer(request):
-        served.append(len(request.body))
-        await asyncio.sleep(seconds)
-        return Response(200, (), str(len(request.body)).encode())
-
-    served: list[int] = []
+async def a_server(node, answer):
+    """Yields the port of a server whose requests ``answer`` handles."""
     server = PipelineServer(
         answer,
         lambda: LIMITS,
@@ -98,14 +91,26 @@
         a_request_buffering(node).new_reservation,
     )
     server.listen(0, '127.0.0.1')
-    port = next(iter(server._sockets.values())).getsockname()[1]
     try:
-        yield port, served
+        yield next(iter(server._sockets.values())).getsockname()[1]
     finally:
         server.stop()
         server.close_all()
 
 
+class LengthHandler:
+    """Answers each body with its length, after some time."""
+
+    def __init__(self, seconds=0):
+        self.seconds = seconds
+        self.served = []
+
+    async def answer(self, request):
+        self.served.append(len(request.body))
+        await asyncio.sleep(self.seconds)
+        return Response(200, (), str(len(request.body)).encode())
+
+
 async def upload(port, size, key=KEY):
     """Sends a whole body, then reads; returns the head of the response."""
     async with a_raw_client(port) as (reader, writer):
@@ -126,12 +131,13 @@
     node = a_node_with_memory(LIMIT_BYTES)
 
     async def scenario():
-        async with a_server(node, seconds=1) as (port, served):
+        handler = LengthHandler(seconds=1)
+        async with a_server(node, handler.answer) as port:
             heads = await asyncio.gather(
                 *(upload(port, 60 * MIB) for _ in range(3)),
                 upload(port, SMALL),
             )
-            assert sorted(served) == [SMALL, 60 * MIB]
+            assert sorted(handler.served) == [SMALL, 60 * MIB]
             return heads
 
     *large, small = asyncio.run(scenario())
@@ -149,7 +155,8 @@
     node = a_node_with_memory(40 * 10**6)
 
     async def scenario():
-        async with a_server(node) as (port, served):
+        handler = LengthHandler()
+        async with a_server(node, handler.answer) as port:
             begun_at = time.monotonic()
             async with a_raw_client(port) as (reader, writer):
                 writer.write(
@@ -157,7 +164,7 @@
                     b'Content-Length: 62914560\r\n\r\n'
                 )
                 head = await reader.readuntil(b'\r\n\r\n')
-            assert not served
+            assert not handler.served
             return head, time.monotonic() - begun_at
 
     head, seconds = asyncio.run(scenario())
@@ -169,7 +176,8 @@
     node = a_node_with_memory(LIMIT_BYTES)
 
     async def scenario():
-        async with a_server(node) as (port, served):
+        handler = LengthHandler()
+        async with a_server(node, handler.answer) as port:
             for _ in range(20):
                 async with a_raw_client(port) as (_, writer):
                     writer.write(
@@ -179,7 +187,7 @@
                     writer.write(b'x' * MIB)
                     await writer.drain()
             await asyncio.sleep(0.2)
-            assert not served
+            assert not handler.served
 
     asyncio.run(scenario())
     gc.collect()
@@ -194,7 +202,8 @@
 
     async def scenario():
         stop = asyncio.Event()
-        async with a_server(node) as (port, served):
+        handler = LengthHandler()
+        async with a_server(node, handler.answer) as port:
             turns = asyncio.create_task(longest_turn(stop))
             async with a_raw_client(port) as (reader, writer):
                 writer.write(
@@ -202,7 +211,7 @@
                     b'Transfer-Encoding: chunked\r\n\r\n' + body
                 )
                 await reader.readuntil(b'\r\n\r\n')
-            assert served == [count]
+            assert handler.served == [count]
             stop.set()
             return await turns
 
@@ -275,22 +284,13 @@
         async def answer(request):
             return Response(200, (), bytearray(size), holding=holdings.pop())
 
-        server = PipelineServer(
-            answer,
-            lambda: LIMITS,
-            lambda error: None,
-            a_request_buffering(node).new_reservation,
-        )
-        server.listen(0, '127.0.0.1')
-        port = next(iter(server._sockets.values())).getsockname()[1]
-        async with a_raw_client(port) as (reader, writer):
-            writer.write(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
-            await reader.readuntil(b'\r\n\r\n')
-            assert node.memory.held_bytes == size
-            await reader.readexactly(size)
-            await asyncio.sleep(0.1)
-            assert not node.memory.held_bytes
-        server.stop()
-        server.close_all()
+        async with a_server(node, answer) as port:
+            async with a_raw_client(port) as (reader, writer):
+                writer.write(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
+                await reader.readuntil(b'\r\n\r\n')
+                assert node.memory.held_bytes == size
+                await reader.readexactly(size)
+                await asyncio.sleep(0.1)
+                assert not node.memory.held_bytes
 
     asyncio.run(scenario())
--- a/tests/wire_builders.py
+++ b/tests/wire_builders.py
@@ -24,6 +24,38 @@
 )
 
 
+class AnsweringUpstream:
+    """The base of stand-ins that answer each request by its head."""
+
+    def __init__(self):
+        self._writers = []
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        return self._server.sockets[0].getsockname()[1]
+
+    async def stop(self):
+        self._server.close()
+        for writer in self._writers:
+            await close_writer(writer)
+
+    async def answer(self, head):
+        """Returns the bytes of the answer to a request."""
+        raise NotImplementedError
+
+    async def _serve(self, reader, writer):
+        self._writers.append(writer)
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                writer.write(await self.answer(head))
+                await writer.drain()
+
+
+def request_id_of(head):
+    return head.partition(b'X-Request-Id: ')[2].partition(b'\r')[0]
+
+
 class RawUpstream:
     """Answers each request head with fixed bytes and optionally closes.
 
