Answer refused HEAD requests on the native interface

Callers of the native interface whose HEAD request was refused, or whose attempts failed, saw a closed connection without an answer.

Cause: the front end wrote the body of the refusal also for HEAD. Tornado raises an error for a byte of a body that must not follow, and closes.

Change: the same decision now governs the length and the bytes.

Measured: test_reply_to_a_head_request_arrives_without_a_body[refusal] failed before (no byte received), and passes. The platform's front end was not affected.

--- a/chervilstep/adapters/entry.py
+++ b/chervilstep/adapters/entry.py
@@ -217,8 +217,10 @@
         headers = httputil.HTTPHeaders()
         for name, text in answer.headers:
             headers.add(name, text)
+        body = None
         if _has_body(answer, self._start_line.method):
             headers['Content-Length'] = str(len(answer.body))
+            body = bytes(answer.body) or None
         if self._front_end.node.members.is_leaving:
             # A request on a kept connection could cross the close at the end.
             headers['Connection'] = 'close'
@@ -228,7 +230,7 @@
                     'HTTP/1.1', answer.status, answer.reason
                 ),
                 headers,
-                bytes(answer.body) or None,
+                body,
             )
         except iostream.StreamClosedError:
             return
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -207,3 +207,19 @@
     )
     assert answer.startswith(b'HTTP/1.1 400')
     assert not calls
+
+
+@pytest.mark.parametrize(
+    'reply',
+    [RATE_EXCEEDED, Answer(204, 'No Content', (), b'')],
+    ids=['refusal', 'answer'],
+)
+def test_reply_to_a_head_request_arrives_without_a_body(reply):
+    """Guards against refusals whose body ended the connection instead."""
+    received, _ = send_and_record(
+        b'HEAD /strike/1 HTTP/1.1\r\nHost: x\r\n' + CLOSE, reply
+    )
+    head, separator, body = received.partition(b'\r\n\r\n')
+    assert head.startswith(f'HTTP/1.1 {reply.status} '.encode())
+    assert separator
+    assert not body
