Refuse answers whose status is outside 100 to 599

Clients got answers with status 000, 099, 600 and 999, with the stamp and the body of the upstream. With X-Not-Executed in such a head they got 503, which promises that the request has not run.

Cause: Tornado takes any three digits for a status, and AnswerReader stored what the parser gave it. Health checks believed identity, leaving, limits and cold times of such answers as well.

Change: AnswerReader refuses the head before it stores anything of it, with an error on which Tornado closes the connection, and has no answer. Attempts, health checks and the store all read through it. The attempt ends as bad-answer, "may have run".

--- a/chervilstep/adapters/answers.py
+++ b/chervilstep/adapters/answers.py
@@ -10,6 +10,7 @@
 from chervilstep.adapters.requests import MAX_COPIED_BYTES
 from chervilstep.calls import Answer, Headers
 from chervilstep.queries.headers import answer_headers, parse_content_length
+from chervilstep.statuses import status_fault
 
 #: Answers are much shorter than this, unless something is wrong.
 OVERLONG_BYTES: Final = 4 * 1024 * 1024
@@ -47,6 +48,7 @@
         '_abort',
         '_body',
         '_body_limit_bytes',
+        '_fault',
         '_headers',
         '_is_aborted',
         '_is_finished',
@@ -78,6 +80,7 @@
         self._abort = abort
         self._reservation = reservation
         self._body = bytearray()
+        self._fault: str | None = None
         self._is_aborted = False
         self._size = 0
         self._headers = httputil.HTTPHeaders()
@@ -96,6 +99,11 @@
         match = _KEEP_ALIVE_TIMEOUT.search(self._headers.get('Keep-Alive', ''))
         return float(match.group(1)) if match else None
 
+    @property
+    def fault(self) -> str | None:
+        """What makes the response no answer, or None."""
+        return self._fault
+
     @property
     def has_head(self) -> bool:
         """Whether the status line and the headers have arrived."""
@@ -142,6 +150,8 @@
         start = self._start_line
         if start is None or not self._is_finished or self._is_aborted:
             return None
+        if self._fault is not None:
+            return None
         return Answer(
             start.code,
             start.reason,
@@ -165,8 +175,16 @@
         start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
         headers: httputil.HTTPHeaders,
     ) -> None:
-        """Stores the head; the final one replaces that of a 1xx response."""
+        """Stores the head; the final one replaces that of a 1xx response.
+
+        Raises:
+            HTTPInputError: The response is malformed; nothing of it is stored.
+        """
         if isinstance(start_line, httputil.ResponseStartLine):
+            self._fault = status_fault(start_line.code)
+            if self._fault is not None:
+                # The connection is closed on this error.
+                raise httputil.HTTPInputError(self._fault)
             self._start_line = start_line
             self._headers = headers
 
--- a/chervilstep/adapters/pool.py
+++ b/chervilstep/adapters/pool.py
@@ -290,7 +290,7 @@
             return self._failed_outcome(Ending.BAD_ANSWER, Verdict.MAY_HAVE_RUN)
         if reader.is_too_large:
             return self._failed_outcome(Ending.TOO_LARGE, Verdict.RAN)
-        if reader.has_head:
+        if reader.has_head or reader.fault is not None:
             return self._failed_outcome(Ending.BAD_ANSWER, Verdict.MAY_HAVE_RUN)
         return self._failed_outcome(Ending.LOST, Verdict.MAY_HAVE_RUN)
 
--- /dev/null
+++ b/tests/answer_builders.py
@@ -0,0 +1,201 @@
+"""Builders of sound and broken answers, and of front ends that get them."""
+
+import asyncio
+import contextlib
+import time
+
+from chervilstep.adapters.capabilities import load_capabilities
+from chervilstep.adapters.dialect import NATIVE
+from chervilstep.adapters.dispatcher import new_dispatcher
+from chervilstep.adapters.edge import EDGES
+from chervilstep.adapters.health import new_health_checker
+from chervilstep.adapters.pool import new_pool
+from chervilstep.calls import Call
+from chervilstep.node import new_node
+from chervilstep.platform.addresses import PLATFORM_ADDRESSES, PlatformAddresses
+from chervilstep.platform.dialect import PLATFORM_DIALECT
+from chervilstep.platform.edge import PLATFORM_EDGE
+from chervilstep.queries.soonest import SOONEST
+from chervilstep.services import ColdStart, Service
+from chervilstep.settings import Profile, Settings
+from chervilstep.snapshot import RouteOptions
+from tests import builders
+from tests.stop_builders import HOST, a_free_port
+from tests.wire_builders import a_raw_upstream
+
+load_capabilities()
+
+REQUEST_ID = 'r-1'
+ECHO = f'X-Request-Id: {REQUEST_ID}'.encode()
+#: A front end and the dialect of the upstreams behind it.
+FRONT_ENDS = {NATIVE: NATIVE, PLATFORM_EDGE: PLATFORM_DIALECT}
+
+
+def a_raw_answer(status=b'200 OK', *fields, body=b'ok', version=b'HTTP/1.1'):
+    """Returns an answer with a length, and ``fields`` between its others."""
+    length = b'Content-Length: %d' % len(body)
+    lines = [version + b' ' + status, ECHO, *fields, length, b'']
+    return b'\r\n'.join([*lines, body])
+
+
+def a_framed_answer(*fields, body=b'', status=b'200 OK'):
+    """Returns an answer whose framing fields are among ``fields``."""
+    lines = [b'HTTP/1.1 ' + status, ECHO, *fields, b'']
+    return b'\r\n'.join([*lines, body])
+
+
+SOUND = a_raw_answer()
+#: What an upstream can say beside its answer.
+CLAIMS = [
+    b'X-Not-Executed: 1',
+    b'X-Server-Load: 1,0,3',
+    b'X-Cold-Start-Ms: 9000',
+    b'Server-Limit: 5',
+    b'Server-Leaving: 1',
+    b'Retry-After: 3',
+]
+#: Status codes outside the range of RFC 9110, section 15.
+ODD_STATUSES = [b'000 None', b'099 Low', b'600 High', b'999 Top']
+
+
+def a_raw_call(method='GET', request_id=REQUEST_ID, body=b''):
+    return Call(
+        method,
+        '/strike/1',
+        (('X-Request-Id', request_id),),
+        body,
+        key_digest=None,
+        deadline=None,
+        request_id=request_id,
+    )
+
+
+def a_raw_request(method='GET', request_id=REQUEST_ID, body=b''):
+    head = (
+        f'{method} /strike/1 HTTP/1.1\r\nHost: h\r\n'
+        f'X-Request-Id: {request_id}\r\nContent-Length: {len(body)}\r\n\r\n'
+    )
+    return head.encode() + body
+
+
+class Entry:
+    """An edge in front of upstreams, over real connections."""
+
+    def __init__(self, kind, upstreams, attempts):
+        self.port = a_free_port()
+        admin, peer, *others = (f'{HOST}:{a_free_port()}' for _ in range(5))
+        PLATFORM_ADDRESSES.put(peer, PlatformAddresses(*others))
+        settings = Settings(
+            name=peer,
+            zone='akl',
+            entry_address=f'{HOST}:{self.port}',
+            peer_address=peer,
+            admin_address=admin,
+            configuration_source='file:unused.toml',
+            seeds={},
+            peer_secret='',
+            profile=Profile(dialect=FRONT_ENDS[kind], edge=kind),
+        )
+        self.node = new_node(settings, 1)
+        service = Service('strike', upstreams, SOONEST)
+        route = builders.a_route(
+            is_open=True, customers=(), methods=('GET', 'HEAD', 'POST')
+        )
+        if kind == PLATFORM_EDGE:
+            route = route.with_options(RouteOptions('h', attempts, None))
+        self.node.configuration.publish(
+            builders.a_snapshot(services=[service], routes=[route])
+        )
+        self.pool = new_pool(
+            settings, time.monotonic, lambda name, opened_at: True
+        )
+        dispatcher = new_dispatcher(self.node, self.pool, time.monotonic)
+        self.edge = EDGES.find(kind)(
+            self.node, dispatcher.handle, time.monotonic
+        )
+
+    @property
+    def events(self):
+        """The logged events as pairs of a name and fields."""
+        return [(each.name, each.fields) for each in self.node.events.pending]
+
+
+@contextlib.asynccontextmanager
+async def an_entry(kind, *upstreams, attempts=1):
+    entry = Entry(kind, upstreams, attempts)
+    entry.edge.listen()
+    try:
+        yield entry
+    finally:
+        entry.edge.stop_accepting()
+        entry.pool.close()
+        await entry.edge.close()
+
+
+async def exchange(port, *requests):
+    """Sends requests at once on one connection and reads all responses."""
+    reader, writer = await asyncio.open_connection(HOST, port)
+    try:
+        writer.write(b''.join(requests))
+        return [await read_response(reader, each) for each in requests]
+    finally:
+        writer.transport.abort()
+
+
+async def read_response(reader, request):
+    """Returns the head and the body of the response to a request."""
+    head = await reader.readuntil(b'\r\n\r\n')
+    length = 0
+    for line in head.split(b'\r\n'):
+        if line.lower().startswith(b'content-length:'):
+            length = int(line.partition(b':')[2])
+    if request.startswith(b'HEAD '):
+        length = 0
+    return head, await reader.readexactly(length)
+
+
+async def check_once(node, upstream):
+    """Sends one health check to an upstream of ``node``."""
+    checker = new_health_checker(node, time.monotonic)
+    with contextlib.closing(checker):
+        await checker.probe_for_placement('strike', [upstream])
+        await asyncio.gather(*checker._check_tasks.values())
+
+
+def check_answer(answer, closes=True):
+    """Returns a node whose health check got ``answer``, and the upstream."""
+
+    async def scenario():
+        async with a_raw_upstream(answer, closes=closes) as (_, upstream):
+            service = Service(
+                'strike',
+                [upstream],
+                SOONEST,
+                cold_start=ColdStart(3, 12),
+                health_path='/health',
+            )
+            node = new_node(builders.a_settings(dialect=PLATFORM_DIALECT), 1)
+            node.configuration.publish(builders.a_snapshot(services=[service]))
+            await check_once(node, upstream)
+        return node, upstream
+
+    return asyncio.run(scenario())
+
+
+def status_of(response):
+    return response[0].split(b' ', 2)[1]
+
+
+def fetch_through(kind, answer, method='GET', closes=True):
+    """Fetches an answer through an entry; returns it, the entry, the server."""
+
+    async def scenario():
+        async with (
+            a_raw_upstream(answer, closes=closes) as (server, upstream),
+            an_entry(kind, upstream) as entry,
+        ):
+            request = a_raw_request(method)
+            (response,) = await exchange(entry.port, request)
+            return response, entry, server
+
+    return asyncio.run(scenario())
--- /dev/null
+++ b/tests/test_answers.py
@@ -0,0 +1,78 @@
+"""Tests of what counts as an answer of an upstream."""
+
+import asyncio
+
+import pytest
+
+from chervilstep.calls import Ending
+from chervilstep.platform.dialect import PLATFORM_DIALECT
+from chervilstep.types import Verdict
+from tests.answer_builders import (
+    CLAIMS,
+    FRONT_ENDS,
+    ODD_STATUSES,
+    SOUND,
+    a_raw_answer,
+    a_raw_call,
+    fetch_through,
+    status_of,
+)
+from tests.wire_builders import a_live_attempt, a_pool, a_raw_upstream
+
+
+def send_once(*answers, method='GET', closes=True, dialect=PLATFORM_DIALECT):
+    """Sends one attempt; the answers follow each other on the connection."""
+
+    async def scenario():
+        pool = a_pool(dialect=dialect)
+        raw = b''.join(answers)
+        async with a_raw_upstream(raw, closes=closes) as (_, upstream):
+            call = a_raw_call(method)
+            outcome = await pool.send(a_live_attempt(upstream, 1, call))
+            pool.close()
+        return outcome
+
+    return asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('method', ['GET', 'POST', 'HEAD'])
+@pytest.mark.parametrize('status', ODD_STATUSES)
+@pytest.mark.parametrize('kind', FRONT_ENDS)
+def test_status_outside_the_standard_range_never_reaches_callers(
+    kind, status, method
+):
+    """Guards against an answer with status 000 that was passed on."""
+    answer = a_raw_answer(status, b'X-Response-Stamp: s')
+    response, _, server = fetch_through(kind, answer, method)
+    assert status_of(response) == b'502'
+    assert b'X-Response-Stamp' not in response[0]
+    assert len(server.requests) == 1
+
+
+@pytest.mark.parametrize('status', ODD_STATUSES)
+@pytest.mark.parametrize('more', [b'', SOUND], ids=['alone', 'and another'])
+def test_nothing_is_believed_of_an_answer_with_an_odd_status(status, more):
+    """Guards against "not run" on the word of an answer that is none."""
+    outcome = send_once(a_raw_answer(status, *CLAIMS), more)
+    assert outcome.ending is Ending.BAD_ANSWER
+    assert outcome.verdict is Verdict.MAY_HAVE_RUN
+    assert outcome.answer is None
+    assert outcome.report is None
+    assert outcome.stated_limit is None
+    assert not outcome.notice.is_leaving
+    assert not outcome.notice.pause_seconds
+
+
+def test_odd_status_after_an_interim_answer_is_no_answer():
+    interim = b'HTTP/1.1 103 Early Hints\r\n\r\n'
+    outcome = send_once(interim, a_raw_answer(b'000 None'))
+    assert outcome.ending is Ending.BAD_ANSWER
+    assert outcome.answer is None
+
+
+@pytest.mark.parametrize('status', [b'200 OK', b'299 Own', b'599 Last'])
+@pytest.mark.parametrize('kind', FRONT_ENDS)
+def test_every_status_within_the_range_is_passed_on(kind, status):
+    response, _, _ = fetch_through(kind, a_raw_answer(status))
+    assert response[0].startswith(b'HTTP/1.1 ' + status + b'\r\n')
+    assert response[1] == b'ok'
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -3,10 +3,20 @@
 import asyncio
 import time
 
+import pytest
+
 from chervilstep.adapters.health import new_health_checker
+from chervilstep.commands.health import MOVED_CLOSE_SECONDS
 from chervilstep.commands.loads import remove_old_loads
 from chervilstep.queries.soonest import SOONEST
+from chervilstep.queries.throttling import active_throttle
 from chervilstep.services import Service
+from tests.answer_builders import (
+    CLAIMS,
+    ODD_STATUSES,
+    a_raw_answer,
+    check_answer,
+)
 from tests.builders import (
     a_node,
     a_snapshot,
@@ -57,3 +67,34 @@
     node.configuration.publish(a_snapshot_of([]))
     remove_old_loads(node, 2)
     assert upstream.name not in node.loads.by_upstream
+
+
+@pytest.mark.parametrize('status', ODD_STATUSES)
+def test_nothing_is_believed_of_a_health_answer_with_an_odd_status(status):
+    """Guards against notices and limits of an answer that is none."""
+    node, upstream = check_answer(a_raw_answer(status, *CLAIMS))
+    health = node.health.upstream_health(upstream.name)
+    assert health.report is None
+    assert not health.is_leaving
+    assert health.paused_until.at <= time.monotonic()
+    assert health.cold_until.at <= time.monotonic() + 4
+    assert active_throttle(node, upstream.name) is None
+    assert health.failures == 1
+
+
+@pytest.mark.parametrize('status', ODD_STATUSES)
+def test_health_answer_with_an_odd_status_moves_no_address(status):
+    answer = a_raw_answer(status, b'X-Instance-Id: other')
+    node, upstream = check_answer(answer)
+    health = node.health.upstream_health(upstream.name)
+    assert health.closed_until.at < time.monotonic() + MOVED_CLOSE_SECONDS / 2
+
+
+def test_sound_health_answer_is_believed():
+    node, upstream = check_answer(a_raw_answer(b'200 OK', *CLAIMS))
+    health = node.health.upstream_health(upstream.name)
+    assert health.report.running == 1
+    assert health.is_leaving
+    assert health.cold_until.at > time.monotonic() + 4
+    assert active_throttle(node, upstream.name) is not None
+    assert not health.failures
--- a/tests/test_keepalive.py
+++ b/tests/test_keepalive.py
@@ -7,6 +7,7 @@
 
 from chervilstep.adapters.keepalive import KeepAliveClient
 from chervilstep.exceptions import FetchError
+from tests.answer_builders import ODD_STATUSES, a_raw_answer
 from tests.wire_builders import (
     ANSWER,
     ENDLESS_ANSWERS,
@@ -67,3 +68,15 @@
         assert server.connections == 2
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('status', ODD_STATUSES)
+def test_answer_with_an_odd_status_raises_fetch_error(status):
+    async def scenario():
+        async with a_raw_upstream(a_raw_answer(status)) as (_, upstream):
+            client = KeepAliveClient(upstream.address, MAX_BODY_BYTES)
+            with pytest.raises(FetchError):
+                await client.get('/health', TIMEOUT_SECONDS)
+            client.close()
+
+    asyncio.run(scenario())
