Take malformed heads for bad answers, not for crashes

Callers got 502 upstream-lost for bytes that are no answer, and a request that got such bytes from several upstreams was quarantined, at every instance, as one that crashes them.

Cause: Tornado logs its parser's error, closes the connection and returns, so the pool saw an attempt that ended without a head, as after a crash.

Change: AnswerConnection takes the error while the base class closes on it, and that of a head above the limit from the stream, and tells its reader. Such an attempt ends as bad-answer.

--- a/chervilstep/adapters/answers.py
+++ b/chervilstep/adapters/answers.py
@@ -1,10 +1,11 @@
 """Reads HTTP responses of upstreams and checks their completeness."""
 
 import re
+import sys
 from collections.abc import Awaitable, Callable
 from typing import Final, final
 
-from tornado import http1connection, httputil
+from tornado import http1connection, httputil, iostream
 
 from chervilstep.adapters.buffering import Reservation
 from chervilstep.adapters.requests import MAX_COPIED_BYTES
@@ -14,28 +15,12 @@
 
 #: Answers are much shorter than this, unless something is wrong.
 OVERLONG_BYTES: Final = 4 * 1024 * 1024
+#: Longer descriptions of faults, which may quote the response, are cut.
+MAX_FAULT_CHARACTERS: Final = 100
 _KEEP_ALIVE_TIMEOUT: Final = re.compile(r'timeout=(\d+)')
 _STATUSES_WITHOUT_BODY: Final = frozenset((204, 304))
 
 
-class AnswerConnection(http1connection.HTTP1Connection):
-    """A client connection whose reader may make it wait for room.
-
-    The base class takes every exception of the reader for a fault, logs it and
-    raises another one. A cancelled attempt must end as cancelled.
-    """
-
-    # The base class has a __dict__, and this class adds no attributes.
-    __slots__ = ()
-
-    async def _deliver_body(
-        self, delegate: httputil.HTTPMessageDelegate, data: bytes
-    ) -> None:
-        stored = delegate.data_received(data)
-        if stored is not None:
-            await stored
-
-
 @final
 class AnswerReader(httputil.HTTPMessageDelegate):
     """Collects one HTTP response and builds an answer when it is complete.
@@ -162,6 +147,11 @@
             self._reservation.holding if self._reservation else None,
         )
 
+    def record_fault(self, fault: str) -> None:
+        """Records what makes the response no answer, unless it is known."""
+        if self._fault is None:
+            self._fault = fault[:MAX_FAULT_CHARACTERS]
+
     def forbid_reuse(self) -> None:
         """Prevents the reuse of the connection for another request."""
         self._is_reusable = False
@@ -181,10 +171,10 @@
             HTTPInputError: The response is malformed; nothing of it is stored.
         """
         if isinstance(start_line, httputil.ResponseStartLine):
-            self._fault = status_fault(start_line.code)
-            if self._fault is not None:
-                # The connection is closed on this error.
-                raise httputil.HTTPInputError(self._fault)
+            fault = status_fault(start_line.code)
+            if fault is not None:
+                # The connection records this error and closes.
+                raise httputil.HTTPInputError(fault)
             self._start_line = start_line
             self._headers = headers
 
@@ -224,3 +214,61 @@
                 ('Content-Length', self._headers['Content-Length']),
             )
         return headers
+
+
+@final
+class AnswerConnection(http1connection.HTTP1Connection):
+    """A client connection that reads one response.
+
+    The base class takes every exception of the reader for a fault, logs it and
+    raises another one. A cancelled attempt must end as cancelled.
+    """
+
+    # The base class has a __dict__; the slots declare the attributes.
+    __slots__ = ('_reader',)
+
+    def __init__(
+        self,
+        stream: iostream.IOStream,
+        parameters: http1connection.HTTP1ConnectionParameters,
+        reader: AnswerReader,
+    ) -> None:
+        """Creates a connection on an open stream."""
+        super().__init__(stream, True, parameters)
+        self._reader = reader
+
+    @property
+    def reader(self) -> AnswerReader:
+        """The reader that receives the response."""
+        return self._reader
+
+    async def read_answer(self) -> None:
+        """Reads one response into the reader.
+
+        Raises:
+            StreamClosedError: The connection was lost, or a line is too long.
+        """
+        try:
+            await self.read_response(self._reader)
+        except iostream.StreamClosedError:
+            if isinstance(self.stream.error, iostream.UnsatisfiableReadError):
+                self._reader.record_fault(str(self.stream.error))
+            raise
+
+    def close(self) -> None:
+        """Closes the stream, and tells the reader if the response is malformed.
+
+        The base class closes while it handles the parser's error, which it
+        does not pass on.
+        """
+        error = sys.exception()
+        if isinstance(error, httputil.HTTPInputError):
+            self._reader.record_fault(str(error))
+        super().close()
+
+    async def _deliver_body(
+        self, delegate: httputil.HTTPMessageDelegate, data: bytes
+    ) -> None:
+        stored = delegate.data_received(data)
+        if stored is not None:
+            await stored
--- a/chervilstep/adapters/keepalive.py
+++ b/chervilstep/adapters/keepalive.py
@@ -106,14 +106,14 @@
 
     async def _exchange(self, target: str) -> FetchedAnswer | None:
         stream = await self._open_stream()
-        http = AnswerConnection(stream, True, self._params)
+        reader = AnswerReader('GET', self._params.max_body_size or 0)
+        http = AnswerConnection(stream, self._params, reader)
         headers = httputil.HTTPHeaders({'Host': self._address})
         start = httputil.RequestStartLine('GET', target, 'HTTP/1.1')
         written = http.write_headers(start, headers)
         written.add_done_callback(ignore_exception)
         http.finish()
-        reader = AnswerReader('GET', self._params.max_body_size or 0)
-        await http.read_response(reader)
+        await http.read_answer()
         answer = reader.answer
         if not reader.keeps_alive:
             self.close()
--- a/chervilstep/adapters/pool.py
+++ b/chervilstep/adapters/pool.py
@@ -167,14 +167,14 @@
             return self._failed_outcome(
                 Ending.LOST_BEFORE_WRITE, Verdict.NOT_RUN
             )
-        http = AnswerConnection(stream, True, self._params)
-        reader = self._new_reader(attempt, stream)
+        http = self._new_answer_connection(attempt, stream)
+        reader = http.reader
         try:
             async with asyncio.timeout(
                 attempt.deadline.remaining(self._clock())
             ):
                 self._write_request(http, attempt)
-                reader = await self._read_answer(http, attempt, reader, stream)
+                reader = await self._read_answer(http, attempt, stream)
         except TimeoutError:
             stream.close()
             return self._failed_outcome(Ending.TIMED_OUT, Verdict.MAY_HAVE_RUN)
@@ -190,37 +190,42 @@
         self,
         http: AnswerConnection,
         attempt: Attempt,
-        reader: AnswerReader,
         stream: InspectableStream,
     ) -> AnswerReader:
         """Reads the answer to the attempt and skips unmatched responses."""
         for _ in range(MAX_UNMATCHED_ANSWERS):
-            await http.read_response(reader)
-            if self._dialect.matches_attempt(attempt, reader.headers):
-                return reader
-            http = AnswerConnection(stream, True, self._params)
+            await http.read_answer()
+            if self._is_final(attempt, http.reader):
+                return http.reader
+            http = self._new_answer_connection(attempt, stream)
             # The request is already sent; otherwise the reader would wait for
             # its end.
             http.finish()
-            reader = self._new_reader(attempt, stream)
-            reader.forbid_reuse()
-        await http.read_response(reader)
-        if not self._dialect.matches_attempt(attempt, reader.headers):
+            http.reader.forbid_reuse()
+        await http.read_answer()
+        if not self._is_final(attempt, http.reader):
             raise iostream.StreamClosedError
-        return reader
+        return http.reader
+
+    def _is_final(self, attempt: Attempt, reader: AnswerReader) -> bool:
+        """Whether the response is that to the attempt, or malformed."""
+        if reader.fault is not None:
+            return True
+        return self._dialect.matches_attempt(attempt, reader.headers)
 
-    def _new_reader(
+    def _new_answer_connection(
         self, attempt: Attempt, stream: InspectableStream
-    ) -> AnswerReader:
+    ) -> AnswerConnection:
         reservation = None
         if self._reserve_for is not None:
             reservation = self._reserve_for(attempt.ticket.route.service)
-        return AnswerReader(
+        reader = AnswerReader(
             attempt.ticket.call.method,
             self._body_limit_bytes,
             stream.close,
             reservation,
         )
+        return AnswerConnection(stream, self._params, reader)
 
     def _write_request(
         self, http: http1connection.HTTP1Connection, attempt: Attempt
--- a/tests/answer_builders.py
+++ b/tests/answer_builders.py
@@ -57,6 +57,88 @@
 #: Status codes outside the range of RFC 9110, section 15.
 ODD_STATUSES = [b'000 None', b'099 Low', b'600 High', b'999 Top']
 
+#: Bytes that a name of a field cannot have (RFC 9110, section 5.1).
+NAMES = {
+    'blank within': b'X y',
+    'blank before the colon': b'X-Odd ',
+    'tab': b'X\ty',
+    'NUL': b'X\x00y',
+    'bell': b'X\x07y',
+    'bare CR': b'X\ry',
+    'DEL': b'X\x7fy',
+    'byte over 0x7f': b'X\xe9y',
+    'separator': b'X(y)',
+    'quote': b'X"y',
+    'empty': b'',
+    'length with a blank': b'Content-Length ',
+    'coding with a blank': b'Transfer-Encoding ',
+}
+#: Bytes that a value of a field cannot have.
+VALUES = {
+    'NUL': b'a\x00b',
+    'bell': b'a\x07b',
+    'escape': b'a\x1bb',
+    'bare CR': b'a\rb',
+    'DEL': b'a\x7fb',
+    'bare CR and a field': b'a\rX-Response-Stamp: s',
+}
+#: Lines of a head that are no field.
+LINES = {
+    'no colon': b'X-Odd',
+    'continuation': b' continued',
+    'continuation by a tab': b'\tcontinued',
+    'continued value': b'X-Odd: a\r\n b',
+    'answer': b'HTTP/1.1 200 OK',
+}
+#: Status lines that are none (RFC 9112, section 4).
+STATUS_LINES = {
+    'noise': b'nonsense',
+    'binary': b'\x16\x03\x01\x02',
+    'no status': b'HTTP/1.1',
+    'empty status': b'HTTP/1.1  OK',
+    'one digit': b'HTTP/1.1 0 OK',
+    'two digits': b'HTTP/1.1 20 OK',
+    'four digits': b'HTTP/1.1 0200 OK',
+    'sign': b'HTTP/1.1 +20 OK',
+    'minus': b'HTTP/1.1 -20 OK',
+    'letters': b'HTTP/1.1 2OO OK',
+    'other digits': b'HTTP/1.1 \xb2\xb3\xb9 OK',
+    'blank in the status': b'HTTP/1.1 2 0 OK',
+    'two blanks': b'HTTP/1.1  200 OK',
+    'tab': b'HTTP/1.1\t200 OK',
+    'HTTP/0.9': b'HTTP/0.9 200 OK',
+    'HTTP/2.0': b'HTTP/2.0 200 OK',
+    'HTTP/1.10': b'HTTP/1.10 200 OK',
+    'lower case': b'http/1.1 200 OK',
+    'NUL in the reason': b'HTTP/1.1 200 O\x00K',
+    'bare CR in the reason': b'HTTP/1.1 200 O\rK',
+    'escape in the reason': b'HTTP/1.1 200 O\x1bK',
+}
+
+
+def a_head_with(line):
+    return a_raw_answer(b'200 OK', line)
+
+
+def an_answer_after(status_line):
+    return SOUND.replace(b'HTTP/1.1 200 OK', status_line)
+
+
+#: Answers whose head cannot be parsed, by what is wrong with it.
+MALFORMED_HEADS = {
+    **{f'name: {kind}': a_head_with(NAMES[kind] + b': 2') for kind in NAMES},
+    **{f'value: {kind}': a_head_with(b'A: ' + VALUES[kind]) for kind in VALUES},
+    **{f'line: {kind}': a_head_with(LINES[kind]) for kind in LINES},
+    **{
+        f'status line: {kind}': an_answer_after(STATUS_LINES[kind])
+        for kind in STATUS_LINES
+    },
+    'after an interim answer': b'HTTP/1.1 103 Early Hints\r\nX y: 1\r\n\r\n'
+    + SOUND,
+    'empty first line': b'\r\n\r\n' + SOUND,
+    'sound answer behind noise': b'noise\r\n' + SOUND,
+}
+
 
 def a_raw_call(method='GET', request_id=REQUEST_ID, body=b''):
     return Call(
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -6,10 +6,12 @@
 
 from chervilstep.calls import Ending
 from chervilstep.platform.dialect import PLATFORM_DIALECT
+from chervilstep.platform.edge import PLATFORM_EDGE
 from chervilstep.types import Verdict
 from tests.answer_builders import (
     CLAIMS,
     FRONT_ENDS,
+    MALFORMED_HEADS,
     ODD_STATUSES,
     SOUND,
     a_raw_answer,
@@ -76,3 +78,21 @@
     response, _, _ = fetch_through(kind, a_raw_answer(status))
     assert response[0].startswith(b'HTTP/1.1 ' + status + b'\r\n')
     assert response[1] == b'ok'
+
+
+@pytest.mark.parametrize('kind', MALFORMED_HEADS)
+def test_malformed_head_is_a_bad_answer(kind):
+    """Guards against broken bytes that counted as a crash of the upstream."""
+    outcome = send_once(MALFORMED_HEADS[kind])
+    assert outcome.ending is Ending.BAD_ANSWER
+    assert outcome.verdict is Verdict.MAY_HAVE_RUN
+    assert outcome.answer is None
+
+
+@pytest.mark.parametrize('answer', [MALFORMED_HEADS['line: no colon'], b''])
+def test_request_is_suspected_only_of_lost_connections(answer):
+    """Guards against a request that was held back for its bad answers."""
+    response, entry, _ = fetch_through(PLATFORM_EDGE, answer)
+    kinds = [each.message.kind for each in entry.node.outbox.envelopes]
+    assert status_of(response) == b'502'
+    assert ('crash' in kinds) is (not answer)
