Say in the log what was wrong with a broken answer

After a 502 for a broken answer, the log named the upstream and "bad-answer", or "lost", and no line told what it had sent.

Cause: the outcome of an attempt carried no reason, and the parser's errors were dropped.

A request that is followed only by answers to other requests ends by the same path instead of a made-up loss of the connection.

--- a/chervilstep/adapters/answers.py
+++ b/chervilstep/adapters/answers.py
@@ -252,7 +252,7 @@
             await self.read_response(self._reader)
         except iostream.StreamClosedError:
             if isinstance(self.stream.error, iostream.UnsatisfiableReadError):
-                self._reader.record_fault(str(self.stream.error))
+                self._reader.record_fault('head or chunk size above its limit')
             raise
 
     def close(self) -> None:
--- a/chervilstep/adapters/pool.py
+++ b/chervilstep/adapters/pool.py
@@ -204,7 +204,7 @@
             http.reader.forbid_reuse()
         await http.read_answer()
         if not self._is_final(attempt, http.reader):
-            raise iostream.StreamClosedError
+            http.reader.record_fault('answers to other requests')
         return http.reader
 
     def _is_final(self, attempt: Attempt, reader: AnswerReader) -> bool:
@@ -254,15 +254,16 @@
         self, attempt: Attempt, connection: Connection, reader: AnswerReader
     ) -> Outcome:
         answer = reader.answer
-        if answer is None or not self._is_complete(connection, reader):
+        if answer is None:
             connection.stream.close()
             return self._incomplete_outcome(reader)
-        if connection.was_used and not self._dialect.identifies_attempt(
-            attempt, reader.headers
-        ):
+        fault = self._completeness_fault(connection, reader)
+        if fault is None and connection.was_used:
             # This may be a second copy of the answer to an earlier request.
+            fault = self._identity_fault(attempt, reader)
+        if fault is not None:
             connection.stream.close()
-            return self._failed_outcome(Ending.BAD_ANSWER, Verdict.MAY_HAVE_RUN)
+            return self._bad_answer_outcome(fault)
         if reader.keeps_alive:
             self._release(
                 attempt.upstream.name, connection, reader.keep_alive_seconds
@@ -282,23 +283,42 @@
             Ending.ANSWERED, Verdict.RAN, now, answer, report, limit, notice
         )
 
-    def _is_complete(
+    def _completeness_fault(
         self, connection: Connection, reader: AnswerReader
-    ) -> bool:
+    ) -> str | None:
+        """Returns why the body may be cut short, or None."""
         if reader.is_self_delimited:
-            return True
+            return None
+        if not self._dialect.allows_close_delimited:
+            return 'body without a length'
         was_reset = connection.stream.error is not None
-        return self._dialect.allows_close_delimited and not was_reset
+        return 'body cut by a reset' if was_reset else None
+
+    def _identity_fault(
+        self, attempt: Attempt, reader: AnswerReader
+    ) -> str | None:
+        if self._dialect.identifies_attempt(attempt, reader.headers):
+            return None
+        return 'no request ID on a reused connection'
 
     def _incomplete_outcome(self, reader: AnswerReader) -> Outcome:
         if reader.is_overlong:
-            return self._failed_outcome(Ending.BAD_ANSWER, Verdict.MAY_HAVE_RUN)
+            return self._bad_answer_outcome('body without end')
         if reader.is_too_large:
             return self._failed_outcome(Ending.TOO_LARGE, Verdict.RAN)
-        if reader.has_head or reader.fault is not None:
-            return self._failed_outcome(Ending.BAD_ANSWER, Verdict.MAY_HAVE_RUN)
+        if reader.fault is not None:
+            return self._bad_answer_outcome(reader.fault)
+        if reader.has_head:
+            return self._bad_answer_outcome(
+                'connection closed within the answer'
+            )
         return self._failed_outcome(Ending.LOST, Verdict.MAY_HAVE_RUN)
 
+    def _bad_answer_outcome(self, fault: str) -> Outcome:
+        return Outcome(
+            Ending.BAD_ANSWER, Verdict.MAY_HAVE_RUN, self._clock(), fault=fault
+        )
+
     def _failed_outcome(self, ending: Ending, verdict: Verdict) -> Outcome:
         return Outcome(ending, verdict, self._clock())
 
--- a/chervilstep/calls.py
+++ b/chervilstep/calls.py
@@ -301,6 +301,7 @@
         '_answer',
         '_ended_at',
         '_ending',
+        '_fault',
         '_notice',
         '_report',
         '_stated_limit',
@@ -316,8 +317,10 @@
         report: LoadReport | None = None,
         stated_limit: StatedLimit | None = None,
         notice: AvailabilityNotice = NO_NOTICE,
+        fault: str | None = None,
     ) -> None:
         """Creates an outcome; ``answer`` is None without an answer."""
+        self._fault = fault
         self._notice = notice
         self._report = report
         self._stated_limit = stated_limit
@@ -356,6 +359,11 @@
         """What the upstream said about further requests."""
         return self._notice
 
+    @property
+    def fault(self) -> str | None:
+        """What was wrong with a broken answer, or None."""
+        return self._fault
+
     @property
     def answer(self) -> Answer | None:
         """The complete answer, or None."""
--- a/chervilstep/commands/health.py
+++ b/chervilstep/commands/health.py
@@ -106,6 +106,7 @@
         zone=attempt.upstream.zone,
         ending=outcome.ending.value,
         verdict=outcome.verdict.value,
+        fault=outcome.fault,
         seconds=round(seconds, 4),
         in_flight=node.loads.in_flight(attempt.upstream.name),
         report_age=round(outcome.ended_at - report.measured_at, 3)
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from chervilstep.adapters.answers import MAX_FAULT_CHARACTERS
 from chervilstep.calls import Ending
 from chervilstep.platform.dialect import PLATFORM_DIALECT
 from chervilstep.platform.edge import PLATFORM_EDGE
@@ -13,7 +14,10 @@
     FRONT_ENDS,
     MALFORMED_HEADS,
     ODD_STATUSES,
+    REQUEST_ID,
     SOUND,
+    a_framed_answer,
+    a_head_with,
     a_raw_answer,
     a_raw_call,
     fetch_through,
@@ -96,3 +100,35 @@
     kinds = [each.message.kind for each in entry.node.outbox.envelopes]
     assert status_of(response) == b'502'
     assert ('crash' in kinds) is (not answer)
+
+
+@pytest.mark.parametrize(
+    ('answer', 'fault'),
+    [
+        (a_raw_answer(b'000 None'), 'status 000 is not within 100 to 599'),
+        (MALFORMED_HEADS['name: blank within'], "header name 'X y'"),
+        (MALFORMED_HEADS['status line: noise'], 'response start line'),
+        (a_framed_answer(b'Content-Length: 2x', body=b'ok'), 'Content-Length'),
+        (a_framed_answer(b'Content-Length: 9', body=b'ok'), 'closed within'),
+        (b'HTTP/1.1 200 ' + b'O' * 2**16, 'above its limit'),
+        (a_head_with(b'X' * 9999 + b' y: 1'), 'Invalid header name'),
+    ],
+    ids=['status', 'name', 'noise', 'length', 'cut', 'endless', 'long name'],
+)
+def test_broken_answer_is_logged_with_its_upstream_and_fault(answer, fault):
+    """Guards against a 502 whose cause no line of the log told."""
+    _, entry, _ = fetch_through(PLATFORM_EDGE, answer)
+    (attempt,) = [
+        fields for name, fields in entry.events if name == 'attempt_ended'
+    ]
+    assert attempt['request'] == REQUEST_ID
+    assert attempt['upstream'] == 'strike-1'
+    assert attempt['ending'] == 'bad-answer'
+    assert fault in attempt['fault']
+    assert len(attempt['fault']) <= MAX_FAULT_CHARACTERS
+    assert entry.node.counters.total('bad_answers', service='strike') == 1
+
+
+def test_sound_answer_counts_as_no_fault():
+    _, entry, _ = fetch_through(PLATFORM_EDGE, SOUND)
+    assert not entry.node.counters.total('bad_answers', service='strike')
