Take no answer for whole that was cut by a reset

A health check took the first half of a body without a length for the whole, when its connection was reset, and believed the load, limit and cold time of that answer. The same held for the store. Callers did not get such answers.

Cause: AnswerReader left the check to its users; HttpPool made it, and KeepAliveClient did not.

Change: AnswerConnection.read_answer makes it for both.

--- a/chervilstep/adapters/answers.py
+++ b/chervilstep/adapters/answers.py
@@ -23,11 +23,7 @@
 
 @final
 class AnswerReader(httputil.HTTPMessageDelegate):
-    """Collects one HTTP response and builds an answer when it is complete.
-
-    A close-delimited body ends with its connection, so the user of the
-    reader has to check that the connection was closed and not reset.
-    """
+    """Collects one HTTP response and builds an answer when it is complete."""
 
     __slots__ = (
         '_abort',
@@ -254,6 +250,9 @@
             if isinstance(self.stream.error, iostream.UnsatisfiableReadError):
                 self._reader.record_fault('head or chunk size above its limit')
             raise
+        # A body may end with its connection, unless that was reset.
+        if self.stream.error is not None and not self._reader.is_self_delimited:
+            self._reader.record_fault('body cut by a reset')
 
     def close(self) -> None:
         """Closes the stream, and tells the reader if the response is malformed.
--- a/chervilstep/adapters/keepalive.py
+++ b/chervilstep/adapters/keepalive.py
@@ -13,7 +13,7 @@
     ignore_exception,
 )
 from chervilstep.calls import Answer
-from chervilstep.exceptions import FetchError
+from chervilstep.exceptions import BrokenAnswerError, FetchError
 
 MAX_HEAD_BYTES: Final = 16 * 1024
 
@@ -64,20 +64,17 @@
 
         Raises:
             FetchError: No complete answer arrived in time.
+            BrokenAnswerError: What arrived is no answer.
         """
         try:
             async with asyncio.timeout(timeout_seconds):
-                fetched = await self._exchange_with_retry(target)
+                return await self._exchange_with_retry(target)
         except (OSError, iostream.StreamClosedError) as fault:
             self.close()
             raise FetchError(type(fault).__name__) from fault
         except BaseException:
             self.close()
             raise
-        if fetched is None:
-            self.close()
-            raise FetchError('incomplete answer')
-        return fetched
 
     def close(self) -> None:
         """Closes the connection."""
@@ -85,7 +82,7 @@
             self._stream.close()
             self._stream = None
 
-    async def _exchange_with_retry(self, target: str) -> FetchedAnswer | None:
+    async def _exchange_with_retry(self, target: str) -> FetchedAnswer:
         """Fetches ``target``; replaces an open connection that fails.
 
         The server may have closed the persistent connection.
@@ -96,15 +93,12 @@
         if self._stream is None:
             return await self._exchange(target)
         try:
-            fetched = await self._exchange(target)
-        except iostream.StreamClosedError:
-            fetched = None
-        if fetched is not None:
-            return fetched
-        self.close()
+            return await self._exchange(target)
+        except (iostream.StreamClosedError, BrokenAnswerError):
+            self.close()
         return await self._exchange(target)
 
-    async def _exchange(self, target: str) -> FetchedAnswer | None:
+    async def _exchange(self, target: str) -> FetchedAnswer:
         stream = await self._open_stream()
         reader = AnswerReader('GET', self._params.max_body_size or 0)
         http = AnswerConnection(stream, self._params, reader)
@@ -117,7 +111,9 @@
         answer = reader.answer
         if not reader.keeps_alive:
             self.close()
-        return None if answer is None else FetchedAnswer(answer, reader.headers)
+        if answer is None:
+            raise BrokenAnswerError(reader.fault or 'incomplete answer')
+        return FetchedAnswer(answer, reader.headers)
 
     async def _open_stream(self) -> InspectableStream:
         if self._stream is None or self._stream.closed():
--- a/chervilstep/adapters/pool.py
+++ b/chervilstep/adapters/pool.py
@@ -257,7 +257,7 @@
         if answer is None:
             connection.stream.close()
             return self._incomplete_outcome(reader)
-        fault = self._completeness_fault(connection, reader)
+        fault = self._length_fault(reader)
         if fault is None and connection.was_used:
             # This may be a second copy of the answer to an earlier request.
             fault = self._identity_fault(attempt, reader)
@@ -283,16 +283,10 @@
             Ending.ANSWERED, Verdict.RAN, now, answer, report, limit, notice
         )
 
-    def _completeness_fault(
-        self, connection: Connection, reader: AnswerReader
-    ) -> str | None:
-        """Returns why the body may be cut short, or None."""
-        if reader.is_self_delimited:
+    def _length_fault(self, reader: AnswerReader) -> str | None:
+        if reader.is_self_delimited or self._dialect.allows_close_delimited:
             return None
-        if not self._dialect.allows_close_delimited:
-            return 'body without a length'
-        was_reset = connection.stream.error is not None
-        return 'body cut by a reset' if was_reset else None
+        return 'body without a length'
 
     def _identity_fault(
         self, attempt: Attempt, reader: AnswerReader
--- a/chervilstep/exceptions.py
+++ b/chervilstep/exceptions.py
@@ -111,3 +111,9 @@
     """A request sent by this instance got no complete answer."""
 
     __slots__ = ()
+
+
+class BrokenAnswerError(FetchError):
+    """A request sent by this instance got bytes that are no answer."""
+
+    __slots__ = ()
--- a/tests/answer_builders.py
+++ b/tests/answer_builders.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 import time
 
 from chervilstep.adapters.capabilities import load_capabilities
@@ -21,10 +23,12 @@
 from chervilstep.snapshot import RouteOptions
 from tests import builders
 from tests.stop_builders import HOST, a_free_port
-from tests.wire_builders import a_raw_upstream
+from tests.wire_builders import AnsweringUpstream, a_raw_upstream
 
 load_capabilities()
 
+#: How long a stand-in waits between its last byte and a reset.
+RESET_DELAY_SECONDS = 0.05
 REQUEST_ID = 'r-1'
 ECHO = f'X-Request-Id: {REQUEST_ID}'.encode()
 #: A front end and the dialect of the upstreams behind it.
@@ -160,6 +164,49 @@
     return head.encode() + body
 
 
+class BreakingUpstream(AnsweringUpstream):
+    """Sends the start of an answer, and then closes or resets."""
+
+    def __init__(self, sent, *, resets):
+        super().__init__()
+        self._sent = sent
+        self._resets = resets
+        self.requests = 0
+
+    async def _serve(self, reader, writer):
+        self._writers.append(writer)
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            await reader.readuntil(b'\r\n\r\n')
+            self.requests += 1
+            writer.write(self._sent)
+            await writer.drain()
+            # A reset discards what the other end has not received yet.
+            await asyncio.sleep(RESET_DELAY_SECONDS if self._resets else 0)
+        if self._resets:
+            reset(writer)
+        else:
+            writer.close()
+
+
+def reset(writer):
+    """Closes a connection with a reset."""
+    connection = writer.get_extra_info('socket')
+    connection.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+    )
+    writer.transport.abort()
+
+
+@contextlib.asynccontextmanager
+async def a_breaking_upstream(sent, *, resets):
+    server = BreakingUpstream(sent, resets=resets)
+    port = await server.start()
+    try:
+        yield server, builders.an_upstream(port=port)
+    finally:
+        await server.stop()
+
+
 class Entry:
     """An edge in front of upstreams, over real connections."""
 
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -16,6 +16,7 @@
     ODD_STATUSES,
     REQUEST_ID,
     SOUND,
+    a_breaking_upstream,
     a_framed_answer,
     a_head_with,
     a_raw_answer,
@@ -132,3 +133,32 @@
 def test_sound_answer_counts_as_no_fault():
     _, entry, _ = fetch_through(PLATFORM_EDGE, SOUND)
     assert not entry.node.counters.total('bad_answers', service='strike')
+
+
+def break_off(sent, *, resets, method='GET'):
+    """Sends one attempt to an upstream that breaks off its answer."""
+
+    async def scenario():
+        pool = a_pool(dialect=PLATFORM_DIALECT)
+        async with a_breaking_upstream(sent, resets=resets) as (_, upstream):
+            outcome = await pool.send(
+                a_live_attempt(upstream, 2, a_raw_call(method))
+            )
+            pool.close()
+        return outcome
+
+    return asyncio.run(scenario())
+
+
+def test_body_that_was_cut_by_a_reset_is_a_bad_answer():
+    sent = a_framed_answer(*CLAIMS, body=b'the first half')
+    outcome = break_off(sent, resets=True)
+    assert outcome.ending is Ending.BAD_ANSWER
+    assert outcome.verdict is Verdict.MAY_HAVE_RUN
+    assert outcome.fault == 'body cut by a reset'
+    assert outcome.answer is None
+
+
+def test_body_that_ends_with_its_connection_is_an_answer():
+    outcome = break_off(a_framed_answer(body=b'the whole'), resets=False)
+    assert outcome.answer.body == b'the whole'
--- a/tests/test_keepalive.py
+++ b/tests/test_keepalive.py
@@ -7,7 +7,12 @@
 
 from chervilstep.adapters.keepalive import KeepAliveClient
 from chervilstep.exceptions import FetchError
-from tests.answer_builders import ODD_STATUSES, a_raw_answer
+from tests.answer_builders import (
+    ODD_STATUSES,
+    a_breaking_upstream,
+    a_framed_answer,
+    a_raw_answer,
+)
 from tests.wire_builders import (
     ANSWER,
     ENDLESS_ANSWERS,
@@ -80,3 +85,29 @@
             client.close()
 
     asyncio.run(scenario())
+
+
+def test_body_that_was_cut_by_a_reset_raises_fetch_error():
+    """Guards against health and store answers that only looked complete."""
+
+    async def scenario():
+        sent = a_framed_answer(body=b'the first half')
+        async with a_breaking_upstream(sent, resets=True) as (_, upstream):
+            client = KeepAliveClient(upstream.address, MAX_BODY_BYTES)
+            with pytest.raises(FetchError):
+                await client.get('/health', TIMEOUT_SECONDS)
+            client.close()
+
+    asyncio.run(scenario())
+
+
+def test_body_that_ends_with_its_connection_is_complete():
+    async def scenario():
+        sent = a_framed_answer(body=b'the whole')
+        async with a_breaking_upstream(sent, resets=False) as (_, upstream):
+            client = KeepAliveClient(upstream.address, MAX_BODY_BYTES)
+            fetched = await client.get('/health', TIMEOUT_SECONDS)
+            client.close()
+        assert fetched.body == b'the whole'
+
+    asyncio.run(scenario())
