Do not take a broken health answer for a restart

One health answer that could not be parsed closed its upstream at once and limited it to the rate of a cold one for the whole time of a cold start.

Cause: the check recorded any failure as a connection that could not be opened; an upstream that answers after that counts as just started.

Change: bytes that are no answer are a failure of their own. Two in a row close the upstream, as with requests, and nothing becomes cold. A line check_broken (one a second at most) names the upstream and the fault, the counter checks_broken has all of them, and trace shows the lines.

--- a/chervilstep/adapters/health.py
+++ b/chervilstep/adapters/health.py
@@ -9,13 +9,14 @@
 from chervilstep.adapters.dialect import new_dialect
 from chervilstep.adapters.keepalive import FetchedAnswer, KeepAliveClient
 from chervilstep.commands.health import (
+    record_broken_check,
     record_failed_check,
     record_health_check,
     record_moved_address,
 )
 from chervilstep.commands.notices import record_notice
 from chervilstep.commands.throttling import record_checked_limit
-from chervilstep.exceptions import FetchError
+from chervilstep.exceptions import BrokenAnswerError, FetchError
 from chervilstep.node import Node
 from chervilstep.queries.health import (
     CHECK_PERIOD_SECONDS,
@@ -129,6 +130,10 @@
             fetched = await client.get(
                 service.health_path, CHECK_TIMEOUT_SECONDS
             )
+        except BrokenAnswerError as error:
+            record_broken_check(
+                self._node, service, upstream.name, str(error), self._clock()
+            )
         except FetchError:
             self._node.counters.add('health_failures', service=service.name)
             record_failed_check(
--- a/chervilstep/commands/health.py
+++ b/chervilstep/commands/health.py
@@ -241,6 +241,21 @@
     _close_after_failure(node, service, upstream, Ending.CONNECT_FAILED, now)
 
 
+def record_broken_check(
+    node: Node, service: Service, upstream: str, fault: str, now: Instant
+) -> None:
+    """Records that a health check got bytes that are no answer.
+
+    The upstream can be reached, so it has not just started.
+    """
+    node.counters.add('checks_broken', service=service.name)
+    if node.throttles.may_log_unreadable(now):
+        node.throttles.record_unreadable_log(now)
+        node.events.add('check_broken', upstream=upstream, fault=fault)
+    node.health.upstream_health(upstream).record_outcome(now, has_failed=True)
+    _close_after_failure(node, service, upstream, Ending.BAD_ANSWER, now)
+
+
 def record_moved_address(node: Node, upstream: str, now: Instant) -> None:
     """Records that the address of an upstream belongs to another one."""
     health = node.health.upstream_health(upstream)
--- a/chervilstep/queries/tracing.py
+++ b/chervilstep/queries/tracing.py
@@ -35,6 +35,7 @@
 #: Events that affect only the requests sent to one upstream.
 UPSTREAM_EVENTS: Final = frozenset(
     (
+        'check_broken',
         'limit_ended',
         'limit_stated',
         'limit_unreadable',
--- a/chervilstep/throttles.py
+++ b/chervilstep/throttles.py
@@ -5,7 +5,8 @@
 
 from chervilstep.types import Deadline, Instant, new_deadline
 
-#: At most one unreadable limit is logged in this time.
+#: At most one line in this time is about limits, pauses and health answers that
+#: cannot be read.
 UNREADABLE_LOG_PERIOD_SECONDS: Final = 1.0
 
 
@@ -248,11 +249,11 @@
         self._changed_upstreams.pop(upstream, None)
 
     def may_log_unreadable(self, now: Instant) -> bool:
-        """Whether another unreadable limit may be logged."""
+        """Whether another unreadable limit, pause or answer may be logged."""
         return self._next_unreadable_log.has_passed(now)
 
     def record_unreadable_log(self, now: Instant) -> None:
-        """Starts the period in which no other unreadable limit is logged."""
+        """Starts the period in which nothing else unreadable is logged."""
         self._next_unreadable_log = new_deadline(
             now, UNREADABLE_LOG_PERIOD_SECONDS
         )
--- a/tests/answer_builders.py
+++ b/tests/answer_builders.py
@@ -291,11 +291,11 @@
         await asyncio.gather(*checker._check_tasks.values())
 
 
-def check_answer(answer, closes=True):
-    """Returns a node whose health check got ``answer``, and the upstream."""
+def check_answer(answer, checks=1):
+    """Returns a node whose health checks got ``answer``, and the upstream."""
 
     async def scenario():
-        async with a_raw_upstream(answer, closes=closes) as (_, upstream):
+        async with a_raw_upstream(answer, closes=True) as (_, upstream):
             service = Service(
                 'strike',
                 [upstream],
@@ -305,7 +305,8 @@
             )
             node = new_node(builders.a_settings(dialect=PLATFORM_DIALECT), 1)
             node.configuration.publish(builders.a_snapshot(services=[service]))
-            await check_once(node, upstream)
+            for _ in range(checks):
+                await check_once(node, upstream)
         return node, upstream
 
     return asyncio.run(scenario())
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -13,6 +13,7 @@
 from chervilstep.services import Service
 from tests.answer_builders import (
     CLAIMS,
+    MALFORMED_HEADS,
     ODD_STATUSES,
     a_raw_answer,
     check_answer,
@@ -90,6 +91,46 @@
     assert health.closed_until.at < time.monotonic() + MOVED_CLOSE_SECONDS / 2
 
 
+def test_broken_health_answer_is_no_sign_of_a_restart():
+    """Guards against one broken answer that closed an upstream as cold."""
+    node, upstream = check_answer(MALFORMED_HEADS['name: blank within'])
+    health = node.health.upstream_health(upstream.name)
+    now = time.monotonic()
+    assert health.failures == 1
+    assert not health.is_cold(now)
+    assert health.closed_until.has_passed(now)
+
+
+def test_broken_health_answers_in_a_row_close_the_upstream():
+    node, upstream = check_answer(MALFORMED_HEADS['name: blank within'], 2)
+    health = node.health.upstream_health(upstream.name)
+    now = time.monotonic()
+    assert health.failures == 2
+    assert not health.is_cold(now)
+    assert not health.closed_until.has_passed(now)
+
+
+def test_broken_health_answer_is_logged_with_its_upstream_and_fault():
+    answer = MALFORMED_HEADS['name: blank within']
+    node, upstream = check_answer(answer, checks=3)
+    (fields,) = [
+        event.fields
+        for event in node.events.pending
+        if event.name == 'check_broken'
+    ]
+    assert fields['upstream'] == upstream.name
+    assert "header name 'X y'" in fields['fault']
+    assert node.counters.total('checks_broken', service='strike') == 3
+
+
+def test_unreachable_upstream_is_closed_and_comes_back_cold():
+    node, upstream = check_answer(b'')
+    health = node.health.upstream_health(upstream.name)
+    now = time.monotonic()
+    assert health.is_cold(now)
+    assert not health.closed_until.has_passed(now)
+
+
 def test_sound_health_answer_is_believed():
     node, upstream = check_answer(a_raw_answer(b'200 OK', *CLAIMS))
     health = node.health.upstream_health(upstream.name)
