Check the framing of answers without a body

Callers got answers to HEAD with lengths that are none, such as "two" or "2,3".

Cause: Tornado checks the length and the coding only when it reads a body. For HEAD it reads none, and the stated length is passed on.

Change: AnswerReader checks both for answers without a body; a repeated length is passed on once.

--- a/chervilstep/adapters/answers.py
+++ b/chervilstep/adapters/answers.py
@@ -10,7 +10,11 @@
 from chervilstep.adapters.buffering import Reservation
 from chervilstep.adapters.requests import MAX_COPIED_BYTES
 from chervilstep.calls import Answer, Headers
-from chervilstep.queries.headers import answer_headers, parse_content_length
+from chervilstep.queries.headers import (
+    answer_headers,
+    parse_content_length,
+    single_length,
+)
 from chervilstep.statuses import status_fault
 
 #: Answers are much shorter than this, unless something is wrong.
@@ -171,6 +175,8 @@
             if fault is not None:
                 # The connection records this error and closes.
                 raise httputil.HTTPInputError(fault)
+            if self._is_head or start_line.code in _STATUSES_WITHOUT_BODY:
+                _check_framing(headers)
             self._start_line = start_line
             self._headers = headers
 
@@ -212,6 +218,25 @@
         return headers
 
 
+def _check_framing(headers: httputil.HTTPHeaders) -> None:
+    """Checks the length and the coding of a response without a body.
+
+    The parser checks only the framing of bodies that it reads. Repetitions of
+    one length are reduced to one.
+
+    Raises:
+        HTTPInputError: The length or the coding is malformed.
+    """
+    http1connection.is_transfer_encoding_chunked(headers)
+    stated = headers.get('Content-Length')
+    if stated is None:
+        return
+    length = single_length(stated)
+    if length is None:
+        raise httputil.HTTPInputError(f'malformed Content-Length {stated!r}')
+    headers['Content-Length'] = length
+
+
 @final
 class AnswerConnection(http1connection.HTTP1Connection):
     """A client connection that reads one response.
--- a/chervilstep/queries/headers.py
+++ b/chervilstep/queries/headers.py
@@ -125,6 +125,17 @@
     return int(text)
 
 
+def single_length(text: str) -> str | None:
+    """Returns the length in a ``Content-Length`` value, or None if malformed.
+
+    Repetitions of one length are allowed (RFC 9110, section 8.6).
+    """
+    length, *others = {part.strip(' \t') for part in text.split(',')}
+    if others or not _LENGTH_PATTERN.fullmatch(length):
+        return None
+    return length
+
+
 def parse_limit(text: str | None) -> StatedLimit:
     """Returns what a header value says about the limit of an upstream.
 
--- a/tests/answer_builders.py
+++ b/tests/answer_builders.py
@@ -144,6 +144,33 @@
 }
 
 
+#: Fields that contradict each other, or tell no length, of any answer.
+MALFORMED_FRAMINGS = {
+    'length of letters': [b'Content-Length: two'],
+    'length and more': [b'Content-Length: 2x'],
+    'empty length': [b'Content-Length:'],
+    'signed length': [b'Content-Length: +2'],
+    'negative length': [b'Content-Length: -2'],
+    'hexadecimal length': [b'Content-Length: 0x2'],
+    'fraction': [b'Content-Length: 2.0'],
+    'length of other digits': [b'Content-Length: \xb2'],
+    'huge length': [b'Content-Length: ' + b'9' * 5000],
+    'two lengths': [b'Content-Length: 2', b'Content-Length: 3'],
+    'two lengths in one': [b'Content-Length: 2, 3'],
+    'unknown coding': [b'Transfer-Encoding: shuffled'],
+    'empty coding': [b'Transfer-Encoding:'],
+    'repeated coding': [
+        b'Transfer-Encoding: chunked',
+        b'Transfer-Encoding: chunked',
+    ],
+    'two codings': [b'Transfer-Encoding: gzip, chunked'],
+    'length and coding': [
+        b'Content-Length: 2',
+        b'Transfer-Encoding: chunked',
+    ],
+}
+
+
 def a_raw_call(method='GET', request_id=REQUEST_ID, body=b''):
     return Call(
         method,
@@ -275,11 +302,10 @@
     """Returns the head and the body of the response to a request."""
     head = await reader.readuntil(b'\r\n\r\n')
     length = 0
-    for line in head.split(b'\r\n'):
-        if line.lower().startswith(b'content-length:'):
-            length = int(line.partition(b':')[2])
-    if request.startswith(b'HEAD '):
-        length = 0
+    if not request.startswith(b'HEAD '):
+        for line in head.split(b'\r\n'):
+            if line.lower().startswith(b'content-length:'):
+                length = int(line.partition(b':')[2])
     return head, await reader.readexactly(length)
 
 
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -12,6 +12,7 @@
 from tests.answer_builders import (
     CLAIMS,
     FRONT_ENDS,
+    MALFORMED_FRAMINGS,
     MALFORMED_HEADS,
     ODD_STATUSES,
     REQUEST_ID,
@@ -162,3 +163,41 @@
 def test_body_that_ends_with_its_connection_is_an_answer():
     outcome = break_off(a_framed_answer(body=b'the whole'), resets=False)
     assert outcome.answer.body == b'the whole'
+
+
+@pytest.mark.parametrize('kind', MALFORMED_FRAMINGS)
+@pytest.mark.parametrize(
+    ('method', 'status'), [('HEAD', b'200 OK'), ('GET', b'304 Unchanged')]
+)
+def test_malformed_framing_of_an_answer_without_a_body(method, status, kind):
+    """Guards against malformed lengths in the answers to HEAD requests."""
+    sent = a_framed_answer(*MALFORMED_FRAMINGS[kind], status=status)
+    outcome = send_once(sent, method=method)
+    assert outcome.ending is Ending.BAD_ANSWER
+    assert outcome.verdict is Verdict.MAY_HAVE_RUN
+    assert outcome.answer is None
+
+
+@pytest.mark.parametrize('kind', FRONT_ENDS)
+def test_malformed_length_never_reaches_callers_of_head(kind):
+    sent = a_framed_answer(b'Content-Length: two')
+    response, _, _ = fetch_through(kind, sent, 'HEAD')
+    assert status_of(response) == b'502'
+    assert b'two' not in response[0]
+
+
+@pytest.mark.parametrize(
+    'lengths', [[b'2'], [b'2', b'2'], [b'2, 2'], [b'002'], []]
+)
+@pytest.mark.parametrize('kind', FRONT_ENDS)
+def test_length_of_an_answer_to_head_is_passed_on_once(kind, lengths):
+    fields = [b'Content-Length: ' + length for length in lengths]
+    response, _, _ = fetch_through(kind, a_framed_answer(*fields), 'HEAD')
+    passed = [
+        line
+        for line in response[0].split(b'\r\n')
+        if line.lower().startswith(b'content-length')
+    ]
+    assert status_of(response) == b'200'
+    assert passed == fields[:1] or passed == [b'Content-Length: 2']
+    assert len(passed) == bool(lengths)
