--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -201,3 +201,28 @@
     assert status_of(response) == b'200'
     assert passed == fields[:1] or passed == [b'Content-Length: 2']
     assert len(passed) == bool(lengths)
+
+
+#: What may follow an answer that switches protocols.
+AFTER_A_SWITCH = [b'', SOUND, b'\x81\x02ok']
+
+
+@pytest.mark.parametrize('more', AFTER_A_SWITCH, ids=['end', 'http', 'frame'])
+def test_switch_of_protocols_without_a_request_is_a_bad_answer(more):
+    """Guards against bytes of another protocol that became an answer."""
+    switch = b'HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\n'
+    outcome = send_once(switch, more)
+    assert outcome.ending is Ending.BAD_ANSWER
+    assert outcome.verdict is Verdict.MAY_HAVE_RUN
+    assert outcome.answer is None
+    assert outcome.fault == 'status 101 without a request to switch protocols'
+
+
+@pytest.mark.parametrize('status', [b'100 Continue', b'102 Busy', b'103 Early'])
+@pytest.mark.parametrize('kind', FRONT_ENDS)
+def test_answer_behind_interim_ones_is_passed_on(kind, status):
+    interim = b'HTTP/1.1 ' + status + b'\r\nLink: </a>\r\n\r\n'
+    response, _, _ = fetch_through(kind, interim + interim + SOUND)
+    assert status_of(response) == b'200'
+    assert response[1] == b'ok'
+    assert b'Link' not in response[0]
