Report unexpected answers of admin addresses without a traceback

status, explain and report ended with a traceback and exit code 1, which is that of a firing alert for report, when the answer was no JSON object or lacked a field. They followed redirects to any address.

Cause: only errors of the HTTP client were caught; the body was decoded behind them.

Change: fetch_each decodes each answer with a function of the subcommand, and any fault becomes a message with the address and exit code 2. Redirects are not followed.

--- a/chervilstep/adapters/adminclient.py
+++ b/chervilstep/adapters/adminclient.py
@@ -1,9 +1,10 @@
 """A client of the admin endpoints, for the command line."""
 
 import asyncio
+import contextlib
 import json
-from collections.abc import Mapping
-from typing import Any, Final
+from collections.abc import Callable, Mapping
+from typing import Any, Final, TypeVar
 from urllib.parse import urlencode
 
 from tornado.httpclient import HTTPClientError
@@ -16,30 +17,71 @@
 
 #: A decoded JSON object.
 JsonObject = Mapping[str, Any]
+Decoded = TypeVar('Decoded')
+
+#: What a program that is no instance, or one of another version, may cause.
+_DECODE_ERRORS: Final = (
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 
 
 def fetch_all(
-    addresses: tuple[str, ...], path: str, query: Mapping[str, str]
-) -> dict[str, JsonObject]:
-    """Fetches ``path`` from each admin address; returns the JSON by address.
+    addresses: tuple[str, ...],
+    path: str,
+    query: Mapping[str, str],
+    decode: Callable[[JsonObject], Decoded],
+) -> dict[str, Decoded]:
+    """Runs ``fetch_each`` in a loop of its own."""
+    return asyncio.run(fetch_each(addresses, path, query, decode))
 
-    Raises:
-        OperatorError: An instance cannot be reached or answers with an error.
-    """
-    return asyncio.run(_fetch_all(addresses, path, query))
 
+async def fetch_each(
+    addresses: tuple[str, ...],
+    path: str,
+    query: Mapping[str, str],
+    decode: Callable[[JsonObject], Decoded],
+) -> dict[str, Decoded]:
+    """Fetches ``path`` from each admin address; returns answers by address.
 
-async def _fetch_all(
-    addresses: tuple[str, ...], path: str, query: Mapping[str, str]
-) -> dict[str, JsonObject]:
+    ``decode`` converts the JSON object of an answer to what the caller needs.
+
+    Raises:
+        OperatorError: An instance cannot be reached, answers with an error or
+            sends something else than the expected object.
+    """
     client = SimpleAsyncHTTPClient(
         force_instance=True, resolver=NumericResolver()
     )
-    answers = await asyncio.gather(
-        *(_fetch(client, address, path, query) for address in addresses)
-    )
-    client.close()
-    return dict(zip(addresses, answers, strict=True))
+    with contextlib.closing(client):
+        bodies = await asyncio.gather(
+            *(_fetch(client, address, path, query) for address in addresses)
+        )
+    return {
+        address: _decode(address, body, decode)
+        for address, body in zip(addresses, bodies, strict=True)
+    }
+
+
+def _decode(
+    address: str, body: bytes, decode: Callable[[JsonObject], Decoded]
+) -> Decoded:
+    try:
+        return decode(_parse_object(body))
+    except _DECODE_ERRORS as error:
+        raise OperatorError(f'{address}: unexpected answer: {error!r}') from (
+            error
+        )
+
+
+def _parse_object(body: bytes) -> JsonObject:
+    answer = json.loads(body)
+    if not isinstance(answer, dict):
+        raise TypeError('not a JSON object')
+    return answer
 
 
 async def _fetch(
@@ -47,13 +89,15 @@
     address: str,
     path: str,
     query: Mapping[str, str],
-) -> JsonObject:
+) -> bytes:
     url = f'http://{address}{path}?{urlencode(query)}'
     try:
         response = await client.fetch(
-            url, request_timeout=REQUEST_TIMEOUT_SECONDS
+            url,
+            request_timeout=REQUEST_TIMEOUT_SECONDS,
+            # Admin endpoints do not redirect.
+            follow_redirects=False,
         )
     except (HTTPClientError, OSError) as error:
         raise OperatorError(f'{address}: {error}') from error
-    decoded: JsonObject = json.loads(response.body)
-    return decoded
+    return response.body
--- a/chervilstep/cli/explain.py
+++ b/chervilstep/cli/explain.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from chervilstep.adapters.adminclient import fetch_all
+from chervilstep.adapters.adminclient import JsonObject, fetch_all
 from chervilstep.cli.registry import SUBCOMMANDS
 
 
@@ -18,8 +18,12 @@
     :param customer: name of the customer whose key the request has
     """
     query = {'path': path, 'method': method, 'customer': customer}
-    answer = fetch_all((admin,), '/explain', query)[admin]
-    for step in answer['steps']:
-        sys.stdout.write(f'{step}\n')
-    sys.stdout.write(f'=> {answer["outcome"]}\n')
+    lines = fetch_all((admin,), '/explain', query, _explanation_lines)[admin]
+    for line in lines:
+        sys.stdout.write(f'{line}\n')
     return 0
+
+
+def _explanation_lines(answer: JsonObject) -> list[str]:
+    steps = [str(step) for step in answer['steps']]
+    return [*steps, f'=> {answer["outcome"]}']
--- a/chervilstep/cli/report.py
+++ b/chervilstep/cli/report.py
@@ -3,13 +3,15 @@
 import enum
 import json
 import sys
+from collections.abc import Mapping
 
-from chervilstep.adapters.adminclient import fetch_all
+from chervilstep.adapters.adminclient import JsonObject, fetch_all
 from chervilstep.adapters.htmlreport import burn_rate_page
 from chervilstep.cli.registry import SUBCOMMANDS
 from chervilstep.queries.burnrate import (
     WINDOW_MINUTES,
     BurnRate,
+    WindowCounts,
     merge_event_counts,
 )
 
@@ -32,12 +34,19 @@
     :param admin: admin addresses (ip:port) of the instances to sum over
     :param output: text, json, or html with plots
     """
-    answers = fetch_all(admin, '/status', {})
-    rows = merge_event_counts(answer['burn'] for answer in answers.values())
+    burn_entries = fetch_all(admin, '/status', {}, _burn_entry)
+    rows = merge_event_counts(burn_entries.values())
     sys.stdout.write(_FORMATTERS[output](rows))
     return EXIT_ALERT if any(row.alert for row in rows) else 0
 
 
+def _burn_entry(status: JsonObject) -> Mapping[str, WindowCounts]:
+    """Returns the event counts in a status, if they can be merged."""
+    burn_entry: Mapping[str, WindowCounts] = status['burn']
+    merge_event_counts((burn_entry,))
+    return burn_entry
+
+
 def _as_text(rows: tuple[BurnRate, ...]) -> str:
     windows = ''.join(f'{window:>8}' for window in WINDOW_MINUTES)
     lines = [f'{"indicator":13}{"of":10}{"name":24}{windows}  alert']
--- a/chervilstep/cli/status.py
+++ b/chervilstep/cli/status.py
@@ -15,7 +15,7 @@
     :param admin: admin addresses (ip:port) of one or more instances
     :param as_json: print the whole status as JSON instead of tables
     """
-    answers = fetch_all(admin, '/status', {})
+    answers = fetch_all(admin, '/status', {}, dict)
     if as_json:
         sys.stdout.write(f'{json.dumps(answers, indent=2)}\n')
         return 0
