Refuse loads out of range in the answers to probes

An upstream that answered a probe with a load above 10^9, or with true, was left out for two seconds by the instance that asked, and by no other; the task of the probe failed.

Cause: the prober stored the number before the message to the peers, which has bounds, refused it.

Change: parse_in_flight has the same bounds, and the answer is a failed probe.

Measured: three of the new cases failed before (the number and true accepted, the report stored); the eight others, odd statuses and broken heads among them, and the older ones held.

--- a/chervilstep/adapters/prober.py
+++ b/chervilstep/adapters/prober.py
@@ -15,6 +15,7 @@
     record_probe_sent,
 )
 from chervilstep.node import Node
+from chervilstep.probe_messages import MAX_IN_FLIGHT
 from chervilstep.queries.probes import probes_due
 from chervilstep.services import Upstream
 from chervilstep.types import Instant
@@ -102,8 +103,10 @@
     if not isinstance(report, dict):
         raise ValueError('Load report is not a JSON object.')
     in_flight = report.get('in_flight')
-    if not isinstance(in_flight, int) or in_flight < 0:
-        raise ValueError('Load report has no non-negative integer "in_flight".')
+    if not isinstance(in_flight, int) or isinstance(in_flight, bool):
+        raise ValueError('Load report has no integer "in_flight".')
+    if not 0 <= in_flight <= MAX_IN_FLIGHT:
+        raise ValueError('Load report has an "in_flight" out of range.')
     return in_flight
 
 
--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -23,6 +23,12 @@
 from chervilstep.queries.probes import probes_due
 from chervilstep.services import Upstream, UpstreamState
 from chervilstep.snapshot import ZoneState
+from tests.answer_builders import (
+    MALFORMED_HEADS,
+    ODD_STATUSES,
+    a_framed_answer,
+    a_raw_answer,
+)
 from tests.builders import a_service, a_snapshot, an_upstream, set_instances
 from tests.load_builders import (
     ENTRY_NAMES,
@@ -35,6 +41,7 @@
     envelopes_from,
     some_upstreams,
 )
+from tests.wire_builders import a_raw_upstream
 
 #: The rounding error of sums of floating-point steps.
 ROUNDING = 1e-9
@@ -94,7 +101,17 @@
 
 @pytest.mark.parametrize(
     'body',
-    [b'', b'[]', b'{}', b'{"in_flight": -1}', b'{"in_flight": "3"}', b'\xff'],
+    [
+        b'',
+        b'[]',
+        b'{}',
+        b'{"in_flight": -1}',
+        b'{"in_flight": "3"}',
+        b'{"in_flight": 1e9}',
+        b'{"in_flight": true}',
+        b'{"in_flight": 10000000000}',
+        b'\xff',
+    ],
 )
 def test_invalid_load_report_is_rejected(body):
     with pytest.raises(ValueError, match='.'):
@@ -137,6 +154,45 @@
     assert node.counters.total_over_labels('probes_sent') == 2
 
 
+A_REPORT = b'{"in_flight": 2}'
+BROKEN_REPORTS = {
+    **{
+        status.decode(): a_raw_answer(status, body=A_REPORT)
+        for status in ODD_STATUSES
+    },
+    'malformed head': MALFORMED_HEADS['name: blank within'],
+    'cut': a_framed_answer(b'Content-Length: 99', body=A_REPORT),
+    'two lengths': a_framed_answer(
+        b'Content-Length: 16', b'Content-Length: 15', body=A_REPORT
+    ),
+    'number beyond the range': a_raw_answer(body=b'{"in_flight": 10000000000}'),
+}
+
+
+@pytest.mark.parametrize('kind', BROKEN_REPORTS)
+def test_broken_answer_to_a_probe_is_a_failure(kind):
+    """Guards against a load that only the prober itself believed."""
+
+    async def scenario():
+        answer = BROKEN_REPORTS[kind]
+        async with a_raw_upstream(answer, closes=True) as (_, upstream):
+            service = a_service(upstreams=[upstream], policy='two-choices')
+            node = a_node_of_fleet(service, names=('entry-1',))
+            review_and_assign([node], time.monotonic() - PROBE_PERIOD_SECONDS)
+            task = asyncio.create_task(new_prober(node, time.monotonic).run())
+            async with asyncio.timeout(10):
+                while not (
+                    node.counters.total_over_labels('probes_failed')
+                    or node.loads.upstream_load(upstream.name).report
+                ):
+                    await asyncio.sleep(0.01)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+        assert node.loads.upstream_load(upstream.name).report is None
+
+    asyncio.run(scenario())
+
+
 class ProbeMachine(RuleBasedStateMachine):
     """A fleet with different member lists and lost messages.
 
