Let the lab's caller notice broken answers

Cause: the lab's client read through the same lenient status parser and ignored that read_response reports a malformed response.

Change: both raise BrokenAnswer, which the caller records as a wrong answer; no check allows one. Lost connections are recorded as before.

--- a/lab/caller.py
+++ b/lab/caller.py
@@ -10,7 +10,7 @@
 
 from chervilstep.types import Instant
 from lab import headers as names
-from lab.client import Client, NoAnswer, NotSent, Response
+from lab.client import BrokenAnswer, Client, NoAnswer, NotSent, Response
 from lab.documents import customer_key
 
 #: The seconds for which a caller waits for an answer beyond its deadline.
@@ -169,6 +169,8 @@
             except NoAnswer:
                 self._move_to_back(address)
                 return _failed_outcome(NO_ANSWER)
+            except BrokenAnswer:
+                return _failed_outcome(WRONG_ANSWER)
             return _response_outcome(request, response)
         return _failed_outcome(NOT_SENT)
 
--- a/lab/client.py
+++ b/lab/client.py
@@ -11,6 +11,8 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpclient import TCPClient
 
+from chervilstep.statuses import status_fault
+
 CONNECT_TIMEOUT_SECONDS: Final = 1
 CONTROL_TIMEOUT_SECONDS: Final = 10
 
@@ -25,6 +27,11 @@
     """The request was sent and no complete answer was received."""
 
 
+@final
+class BrokenAnswer(Exception):
+    """The request was sent and bytes that are no answer were received."""
+
+
 @final
 class Response(httputil.HTTPMessageDelegate):
     """An HTTP answer; ``is_complete`` tells whether all of it was received."""
@@ -110,20 +117,31 @@
         Raises:
             NotSent: No connection could be opened.
             NoAnswer: The connection was lost, or the timeout expired.
+            BrokenAnswer: What was received is no answer.
         """
         stream = await self._acquire_stream(address)
         response = Response()
+        is_well_formed = True
         try:
             async with asyncio.timeout(seconds):
-                await _exchange(stream, method, target, headers, body, response)
-        except (TimeoutError, StreamClosedError, httputil.HTTPInputError):
+                is_well_formed = await _exchange(
+                    stream, method, target, headers, body, response
+                )
+        except (TimeoutError, StreamClosedError):
             stream.close()
         except asyncio.CancelledError:
             stream.close()
             raise
+        if not is_well_formed:
+            stream.close()
+            raise BrokenAnswer(address)
         if not response.is_complete:
             stream.close()
             raise NoAnswer(address)
+        fault = status_fault(response.status)
+        if fault is not None:
+            stream.close()
+            raise BrokenAnswer(f'{address}: {fault}')
         if response.is_keep_alive:
             self._idle[address].append(stream)
         else:
@@ -182,7 +200,8 @@
     headers: Mapping[str, str],
     body: bytes,
     response: Response,
-) -> None:
+) -> bool:
+    """Sends a request; returns False if the response is malformed."""
     connection = HTTP1Connection(stream, is_client=True)
     line = httputil.RequestStartLine(method, target, 'HTTP/1.1')
     head = httputil.HTTPHeaders(headers)
@@ -191,4 +210,4 @@
         head['Content-Length'] = str(len(body))
     connection.write_headers(line, head, body or None)
     connection.finish()
-    await connection.read_response(response)
+    return await connection.read_response(response)
--- a/tests/test_lab_stand_ins.py
+++ b/tests/test_lab_stand_ins.py
@@ -3,15 +3,27 @@
 import asyncio
 import base64
 import json
+import random
 
 import pytest
+import xxhash
 
+from lab.arrivals import Record
+from lab.caller import Caller, Request
 from lab.client import Client, NoAnswer, NotSent
 from lab.headers import NOT_RUN, REQUEST_ID
 from lab.platform import Platform
 from lab.processes import free_ports
+from lab.queries.measuring import check_outcomes
 from lab.store import Store
+from tests.answer_builders import (
+    MALFORMED_HEADS,
+    ODD_STATUSES,
+    a_framed_answer,
+    a_raw_answer,
+)
 from tests.lab_builders import an_upstream_server
+from tests.wire_builders import a_raw_upstream
 
 TIMEOUT_SECONDS = 5
 
@@ -116,3 +128,60 @@
         client.close()
 
     asyncio.run(scenario())
+
+
+#: A body by which a caller recognizes the answer to its request.
+OWN_BODY = json.dumps(
+    {
+        'request_id': 'r-1',
+        'upstream': 'strike-1',
+        'body_digest': xxhash.xxh64_hexdigest(b''),
+    }
+).encode()
+
+
+def checks_of_a_call(answer):
+    """Returns the checks of one call of a caller that got ``answer``."""
+
+    async def scenario():
+        client = Client()
+        async with a_raw_upstream(answer, closes=True) as (_, upstream):
+            caller = Caller((), client, random.Random(1))
+            caller._addresses = (upstream.address,)
+            caller._valid_until = caller._refresh_at = float('inf')
+            request = Request('r-1', '', 'GET', '/strike/1')
+            outcome = await caller.send(request, TIMEOUT_SECONDS)
+        client.close()
+        record = Record(
+            'r-1',
+            '',
+            'strike',
+            is_idempotent=True,
+            scheduled_at=0,
+            lateness=0,
+            latency=0,
+            outcome=outcome,
+        )
+        return check_outcomes([record], {'r-1': 1}, 0)
+
+    return asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('status', ODD_STATUSES)
+def test_caller_notices_odd_statuses(status):
+    """Guards against checks that count a broken answer as an answer."""
+    checks = checks_of_a_call(a_raw_answer(status, body=OWN_BODY))
+    assert checks.wrong_answers == 1
+
+
+@pytest.mark.parametrize('kind', MALFORMED_HEADS)
+def test_caller_notices_malformed_heads(kind):
+    checks = checks_of_a_call(MALFORMED_HEADS[kind])
+    assert checks.wrong_answers == 1
+
+
+def test_caller_takes_a_lost_connection_for_no_wrong_answer():
+    cut = a_framed_answer(b'Content-Length: 999', body=OWN_BODY)
+    assert checks_of_a_call(cut).are_clean
+    assert checks_of_a_call(b'').are_clean
+    assert checks_of_a_call(a_raw_answer(body=OWN_BODY)).are_clean
