--- a/tests/answer_builders.py
+++ b/tests/answer_builders.py
@@ -23,7 +23,11 @@
 from chervilstep.snapshot import RouteOptions
 from tests import builders
 from tests.stop_builders import HOST, a_free_port
-from tests.wire_builders import AnsweringUpstream, a_raw_upstream
+from tests.wire_builders import (
+    AnsweringUpstream,
+    a_raw_upstream,
+    request_id_of,
+)
 
 load_capabilities()
 
@@ -171,6 +175,48 @@
 }
 
 
+def a_chunked_answer(raw_body, *fields, status=b'200 OK'):
+    coding = b'Transfer-Encoding: chunked'
+    return a_framed_answer(coding, *fields, body=raw_body, status=status)
+
+
+#: Chunked bodies that are malformed or lack their end.
+MALFORMED_CHUNKS = {
+    'no size': b'\r\nok\r\n0\r\n\r\n',
+    'size of letters': b'zz\r\nok\r\n0\r\n\r\n',
+    'signed size': b'+2\r\nok\r\n0\r\n\r\n',
+    'negative size': b'-2\r\nok\r\n0\r\n\r\n',
+    'prefixed size': b'0x2\r\nok\r\n0\r\n\r\n',
+    'huge size': b'f' * 60 + b'\r\nok\r\n0\r\n\r\n',
+    'size too small': b'1\r\nok\r\n0\r\n\r\n',
+    'size too large': b'3\r\nok\r\n0\r\n\r\n',
+    'no end of chunk': b'2\r\nok0\r\n\r\n',
+    'no last chunk': b'2\r\nok\r\n',
+    'half of the last chunk': b'2\r\nok\r\n0\r\n',
+}
+
+#: Answers to be passed on with the body ``ok``, as the server frames them.
+SOUND_ANSWERS = {
+    'length': SOUND,
+    'repeated length': a_framed_answer(
+        b'Content-Length: 2', b'Content-Length: 2', body=b'ok'
+    ),
+    'one chunk': a_chunked_answer(b'2\r\nok\r\n0\r\n\r\n'),
+    'two chunks': a_chunked_answer(b'1\r\no\r\n1\r\nk\r\n0\r\n\r\n'),
+    'HTTP/1.0': a_raw_answer(version=b'HTTP/1.0'),
+    'no reason': a_raw_answer(b'200 '),
+    'LF lines': SOUND.replace(b'\r\n', b'\n'),
+    'behind an interim answer': b'HTTP/1.1 103 Early\r\n\r\n' + SOUND,
+    'all signs in a name': a_head_with(b"!#$%&'*+-.^_`|~09azAZ: 1"),
+    'empty value': a_head_with(b'A:'),
+    'tab and high bytes in a value': a_head_with(b'A: b\tc\xe9'),
+}
+SOUND_CHUNKED = SOUND_ANSWERS['two chunks']
+#: A refusal and an answer behind an interim one, to be cut at any place.
+SOUND_REFUSAL = a_raw_answer(b'503 Full', *CLAIMS)
+SOUND_BEHIND_INTERIM = SOUND_ANSWERS['behind an interim answer']
+
+
 def a_raw_call(method='GET', request_id=REQUEST_ID, body=b''):
     return Call(
         method,
@@ -234,6 +280,30 @@
         await server.stop()
 
 
+class ScriptedUpstream(AnsweringUpstream):
+    """Answers each request with the bytes that its ID selects."""
+
+    def __init__(self, answers):
+        super().__init__()
+        self._answers = answers
+        self.requests = []
+
+    async def answer(self, head):
+        request_id = request_id_of(head).decode()
+        self.requests.append(request_id)
+        return self._answers[request_id]
+
+
+@contextlib.asynccontextmanager
+async def a_scripted_upstream(answers, name='strike-1'):
+    server = ScriptedUpstream(answers)
+    port = await server.start()
+    try:
+        yield server, builders.an_upstream(name, port=port)
+    finally:
+        await server.stop()
+
+
 class Entry:
     """An edge in front of upstreams, over real connections."""
 
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -12,19 +12,30 @@
 from tests.answer_builders import (
     CLAIMS,
     FRONT_ENDS,
+    MALFORMED_CHUNKS,
     MALFORMED_FRAMINGS,
     MALFORMED_HEADS,
     ODD_STATUSES,
     REQUEST_ID,
     SOUND,
+    SOUND_ANSWERS,
+    SOUND_BEHIND_INTERIM,
+    SOUND_CHUNKED,
+    SOUND_REFUSAL,
     a_breaking_upstream,
+    a_chunked_answer,
     a_framed_answer,
     a_head_with,
     a_raw_answer,
     a_raw_call,
+    a_raw_request,
+    a_scripted_upstream,
+    an_entry,
+    exchange,
     fetch_through,
     status_of,
 )
+from tests.builders import an_upstream
 from tests.wire_builders import a_live_attempt, a_pool, a_raw_upstream
 
 
@@ -226,3 +237,169 @@
     assert status_of(response) == b'200'
     assert response[1] == b'ok'
     assert b'Link' not in response[0]
+
+
+@pytest.mark.parametrize('kind', MALFORMED_FRAMINGS)
+def test_malformed_framing_is_a_bad_answer(kind):
+    sent = a_framed_answer(*MALFORMED_FRAMINGS[kind], *CLAIMS, body=b'ok')
+    outcome = send_once(sent)
+    assert outcome.answer is None
+    assert outcome.verdict is not Verdict.NOT_RUN
+    assert not outcome.notice.is_leaving
+
+
+@pytest.mark.parametrize('kind', MALFORMED_CHUNKS)
+def test_malformed_chunks_are_a_bad_answer(kind):
+    outcome = send_once(a_chunked_answer(MALFORMED_CHUNKS[kind], *CLAIMS))
+    assert outcome.ending is Ending.BAD_ANSWER
+    assert outcome.verdict is Verdict.MAY_HAVE_RUN
+    assert outcome.answer is None
+
+
+@pytest.mark.parametrize('broken', [*MALFORMED_HEADS.values()][::5])
+@pytest.mark.parametrize('method', ['POST', 'HEAD'])
+@pytest.mark.parametrize('kind', FRONT_ENDS)
+def test_malformed_head_reaches_no_caller(kind, method, broken):
+    response, _, server = fetch_through(kind, broken, method)
+    assert status_of(response) == b'502'
+    assert b'X-Odd' not in response[0]
+    assert len(server.requests) == 1
+
+
+@pytest.mark.parametrize(
+    'whole',
+    [SOUND, SOUND_CHUNKED, SOUND_REFUSAL, SOUND_BEHIND_INTERIM],
+    ids=['length', 'chunks', 'refusal', 'interim'],
+)
+def test_answer_that_stops_early_is_no_answer(whole):
+    """Guards against a part of an answer that is framed as a whole one."""
+
+    async def scenario():
+        for end in range(len(whole)):
+            pool = a_pool(dialect=PLATFORM_DIALECT)
+            async with a_breaking_upstream(whole[:end], resets=False) as (
+                _,
+                upstream,
+            ):
+                call = a_raw_call()
+                outcome = await pool.send(a_live_attempt(upstream, 5, call))
+                pool.close()
+            assert outcome.answer is None, whole[:end]
+            assert outcome.verdict is Verdict.MAY_HAVE_RUN, whole[:end]
+            assert not outcome.notice.is_leaving
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('resets', [False, True], ids=['close', 'reset'])
+@pytest.mark.parametrize('kind', FRONT_ENDS)
+def test_stop_within_an_answer_reaches_no_caller(kind, resets):
+    ends = range(1, len(SOUND_CHUNKED), 7)
+
+    async def scenario():
+        for end in ends:
+            async with (
+                a_breaking_upstream(SOUND_CHUNKED[:end], resets=resets) as (
+                    server,
+                    upstream,
+                ),
+                an_entry(kind, upstream) as entry,
+            ):
+                request = a_raw_request('POST')
+                (response,) = await exchange(entry.port, request)
+            assert status_of(response) == b'502', SOUND_CHUNKED[:end]
+            assert server.requests == 1
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('answer', SOUND_ANSWERS)
+@pytest.mark.parametrize('kind', FRONT_ENDS)
+def test_sound_answer_is_passed_on_whole(kind, answer):
+    response, _, _ = fetch_through(kind, SOUND_ANSWERS[answer])
+    assert status_of(response) == b'200'
+    assert response[1] == b'ok'
+
+
+def test_broken_answer_behind_a_sound_one_is_a_bad_answer():
+    async def scenario():
+        pool = a_pool(dialect=PLATFORM_DIALECT)
+        broken = MALFORMED_HEADS['line: no colon']
+        async with a_raw_upstream([SOUND, broken]) as (server, upstream):
+            outcomes = [
+                await pool.send(a_live_attempt(upstream, 2, a_raw_call()))
+                for _ in range(2)
+            ]
+            pool.close()
+        assert [each.ending for each in outcomes] == [
+            Ending.ANSWERED,
+            Ending.BAD_ANSWER,
+        ]
+        assert server.connections == 1
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('kind', FRONT_ENDS)
+def test_broken_answer_keeps_its_place_among_pipelined_ones(kind):
+    """Guards against an answer that moves up to another request."""
+    sound = SOUND.replace(b'r-1', b'r-%d')
+    answers = {
+        'r-1': sound % 1,
+        'r-2': a_raw_answer(b'000 None'),
+        'r-3': sound % 3,
+        'r-4': MALFORMED_HEADS['line: no colon'],
+        'r-5': sound % 5,
+    }
+
+    async def scenario():
+        async with (
+            a_scripted_upstream(answers) as (_, upstream),
+            an_entry(kind, upstream) as entry,
+        ):
+            requests = [a_raw_request(request_id=name) for name in answers]
+            return await exchange(entry.port, *requests)
+
+    responses = asyncio.run(scenario())
+    statuses = [status_of(response) for response in responses]
+    assert statuses == [b'200', b'502', b'200', b'502', b'200']
+    for number in (1, 3, 5):
+        assert b'X-Request-Id: r-%d' % number in responses[number - 1][0]
+
+
+def call_two_upstreams(answers, method='GET', calls=1):
+    """Sends calls with two attempts each; returns statuses and requests."""
+
+    async def scenario():
+        async with (
+            a_raw_upstream(answers[0], closes=True) as (first, one),
+            a_raw_upstream(answers[1], closes=True) as (second, other),
+        ):
+            renamed = an_upstream('strike-2', address=other.address)
+            async with an_entry(
+                PLATFORM_EDGE, one, renamed, attempts=2
+            ) as entry:
+                statuses = []
+                for _ in range(calls):
+                    request = a_raw_request(method)
+                    (response,) = await exchange(entry.port, request)
+                    statuses.append(status_of(response))
+        return statuses, len(first.requests) + len(second.requests)
+
+    return asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('broken', [*MALFORMED_HEADS.values()][::8])
+@pytest.mark.parametrize(('method', 'attempts'), [('GET', 2), ('POST', 1)])
+def test_only_idempotent_calls_are_repeated_after_a_broken_answer(
+    method, attempts, broken
+):
+    statuses, sent = call_two_upstreams([broken, broken], method)
+    assert statuses == [b'502']
+    assert sent == attempts
+
+
+def test_another_upstream_answers_after_a_broken_answer():
+    broken = a_raw_answer(b'000 None', *CLAIMS)
+    statuses, _ = call_two_upstreams([broken, SOUND], calls=10)
+    assert statuses == [b'200'] * 10
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -77,17 +77,19 @@
     assert len(pool.sent) == 1
 
 
-def test_failed_hedge_does_not_end_the_first_attempt():
-    steps = [Step(seconds=0.2), Step(Ending.LOST)]
+@pytest.mark.parametrize('ending', [Ending.LOST, Ending.BAD_ANSWER])
+def test_failed_hedge_does_not_end_the_first_attempt(ending):
+    steps = [Step(seconds=0.2), Step(ending)]
     reply, elapsed, pool = handle(a_hedging_node(), steps)
     assert reply.body == b'strike-1'
     assert elapsed == pytest.approx(0.2)
 
 
-def test_hedge_answers_when_the_first_attempt_fails():
+@pytest.mark.parametrize('ending', [Ending.LOST, Ending.BAD_ANSWER])
+def test_hedge_answers_when_the_first_attempt_fails(ending):
     node = a_hedging_node()
     tail_seconds = estimated_tail(node)
-    steps = [Step(Ending.LOST, seconds=0.06), Step(seconds=0.1)]
+    steps = [Step(ending, seconds=0.06), Step(seconds=0.1)]
     reply, elapsed, pool = handle(node, steps)
     assert reply.body == b'strike-2'
     assert elapsed == pytest.approx(tail_seconds + 0.1)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -10,6 +10,15 @@
 from chervilstep.node import new_node
 from chervilstep.platform.source import StoreSource
 from chervilstep.platform.store import new_store_client
+from tests.answer_builders import (
+    MALFORMED_CHUNKS,
+    MALFORMED_FRAMINGS,
+    MALFORMED_HEADS,
+    ODD_STATUSES,
+    a_chunked_answer,
+    a_framed_answer,
+    a_raw_answer,
+)
 from tests.builders import a_settings
 from tests.platform_builders import (
     a_changed_entry,
@@ -268,3 +277,36 @@
             )
 
     asyncio.run(scenario())
+
+
+#: Answers of the store that are broken, apart from what their body says.
+BROKEN_ANSWERS = {
+    **MALFORMED_HEADS,
+    **{
+        f'status {status.decode()}': a_raw_answer(status)
+        for status in ODD_STATUSES
+    },
+    **{
+        f'framing: {kind}': a_framed_answer(*fields, body=b'{"asOf": 1}')
+        for kind, fields in MALFORMED_FRAMINGS.items()
+    },
+    **{
+        f'chunks: {kind}': a_chunked_answer(body)
+        for kind, body in MALFORMED_CHUNKS.items()
+    },
+}
+
+
+@pytest.mark.parametrize('kind', BROKEN_ANSWERS)
+def test_broken_answer_raises_store_error_with_a_reason(kind):
+    async def scenario():
+        answer = BROKEN_ANSWERS[kind]
+        async with a_raw_upstream(answer, closes=True) as (_, upstream):
+            client = new_store_client(upstream.address)
+            with pytest.raises(StoreError) as caught:
+                await client.list_all()
+            client.close()
+        assert str(caught.value)
+        assert not caught.value.is_compacted
+
+    asyncio.run(scenario())
