Create answers only with a final status

Both front ends write whatever status an answer has.

Change: Answer refuses a status outside 200 to 599, so that no reader that forgets the check can hand one to a front end; such a call ends as an internal error, "may have run".

Measured: test_no_front_end_gets_an_answer_without_a_final_status fails on the code before (no error for any status) and passes.

--- a/chervilstep/calls.py
+++ b/chervilstep/calls.py
@@ -14,6 +14,7 @@
 )
 from chervilstep.services import Upstream
 from chervilstep.snapshot import Customer, Priority, Route
+from chervilstep.statuses import MAX_STATUS, MIN_FINAL_STATUS
 from chervilstep.types import Deadline, Instant, Verdict
 
 #: Header names and values, in order, as received.
@@ -260,7 +261,13 @@
         """Creates an answer with its end-to-end headers.
 
         ``holding`` has the bytes of the body, if these are in the budget.
+
+        Raises:
+            ValueError: The status is not that of a final answer. Front ends
+                write it as it is.
         """
+        if not MIN_FINAL_STATUS <= status <= MAX_STATUS:
+            raise ValueError(f'status {status} is not that of a final answer')
         self._holding = holding
         self._status = status
         self._reason = reason
--- a/chervilstep/statuses.py
+++ b/chervilstep/statuses.py
@@ -4,6 +4,8 @@
 
 MIN_STATUS: Final = 100
 MAX_STATUS: Final = 599
+#: Lower ones are interim: another answer follows.
+MIN_FINAL_STATUS: Final = 200
 
 #: What follows is of another protocol. Requests never ask for that: the
 #: ``Upgrade`` header is not forwarded.
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -5,7 +5,7 @@
 import pytest
 
 from chervilstep.adapters.answers import MAX_FAULT_CHARACTERS
-from chervilstep.calls import Ending
+from chervilstep.calls import Answer, Ending
 from chervilstep.platform.dialect import PLATFORM_DIALECT
 from chervilstep.platform.edge import PLATFORM_EDGE
 from chervilstep.types import Verdict
@@ -403,3 +403,9 @@
     broken = a_raw_answer(b'000 None', *CLAIMS)
     statuses, _ = call_two_upstreams([broken, SOUND], calls=10)
     assert statuses == [b'200'] * 10
+
+
+@pytest.mark.parametrize('status', [-1, 0, 99, 100, 101, 199, 600, 999])
+def test_no_front_end_gets_an_answer_without_a_final_status(status):
+    with pytest.raises(ValueError, match='final'):
+        Answer(status, 'OK', (), b'')
