Choose the ports of the entries in tests outside the ephemeral range

test_stop_within_an_answer_reaches_no_caller[platform-close] failed once with "Address already in use": the builder closed the ports that the kernel had given it, and a connection of the test got one before the entry listened.

Change: the builder takes ports as the lab does, below the range from which connections get theirs.

--- a/tests/answer_builders.py
+++ b/tests/answer_builders.py
@@ -12,6 +12,7 @@
 from chervilstep.adapters.edge import EDGES
 from chervilstep.adapters.health import new_health_checker
 from chervilstep.adapters.pool import new_pool
+from chervilstep.adapters.streams import split_address
 from chervilstep.calls import Call
 from chervilstep.node import new_node
 from chervilstep.platform.addresses import PLATFORM_ADDRESSES, PlatformAddresses
@@ -21,8 +22,9 @@
 from chervilstep.services import ColdStart, Service
 from chervilstep.settings import Profile, Settings
 from chervilstep.snapshot import RouteOptions
+from lab.processes import free_ports
 from tests import builders
-from tests.stop_builders import HOST, a_free_port
+from tests.stop_builders import HOST
 from tests.wire_builders import (
     AnsweringUpstream,
     a_raw_upstream,
@@ -308,13 +310,15 @@
     """An edge in front of upstreams, over real connections."""
 
     def __init__(self, kind, upstreams, attempts):
-        self.port = a_free_port()
-        admin, peer, *others = (f'{HOST}:{a_free_port()}' for _ in range(5))
+        # The kernel gives none of these to a connection in the meantime.
+        addresses = [f'{HOST}:{port}' for port in free_ports(6)]
+        entry, admin, peer, *others = addresses
+        self.port = split_address(entry)[1]
         PLATFORM_ADDRESSES.put(peer, PlatformAddresses(*others))
         settings = Settings(
             name=peer,
             zone='akl',
-            entry_address=f'{HOST}:{self.port}',
+            entry_address=entry,
             peer_address=peer,
             admin_address=admin,
             configuration_source='file:unused.toml',
