Believe "not run" only on the statuses of refusals

X-Not-Executed on a 200, 500 or 504 made an instance send the request to another server, also if it may run only once, and answer 503 at last.

Cause: the dialect took the header for a refusal on any status; the protocol names 400, 421, 429 and 503, and counts a server's own 500 and 504 as run.

Change: on other statuses the answer is passed on and counts as run.

Measured: seven tests failed before (shed for 200, 304, 500 and 504; POST sent to two servers and answered 503), and pass.

--- a/chervilstep/platform/dialect.py
+++ b/chervilstep/platform/dialect.py
@@ -42,6 +42,9 @@
 STATUS_UNAVAILABLE: Final = 503
 #: Another server has the address; it did not run the request.
 STATUS_MOVED: Final = 421
+#: The statuses of a server that refuses a request: 400 without an ID, 429 and
+#: 503 without room or time.
+REFUSAL_STATUSES: Final = frozenset((400, 429, STATUS_UNAVAILABLE))
 #: The fourth number of a load report when work takes as long as usual.
 USUAL_SLOWDOWN_PERCENT: Final = 100
 MIN_DEADLINE_MS: Final = 1
@@ -83,9 +86,15 @@
     def refusal_ending(
         self, answer: Answer, reader: AnswerReader
     ) -> Ending | None:
-        """Returns MOVED or SHED if the server did not run the attempt."""
+        """Returns MOVED or SHED if the server did not run the attempt.
+
+        Other statuses contradict the header, and a request that may run only
+        once must not be repeated on the word of a contradiction.
+        """
         if answer.status == STATUS_MOVED:
             return Ending.MOVED
+        if answer.status not in REFUSAL_STATUSES:
+            return None
         return Ending.SHED if reader.has_header(NOT_RUN_HEADER) else None
 
     def load_report(
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -409,3 +409,12 @@
 def test_no_front_end_gets_an_answer_without_a_final_status(status):
     with pytest.raises(ValueError, match='final'):
         Answer(status, 'OK', (), b'')
+
+
+@pytest.mark.parametrize('status', [b'200 OK', b'500 Error', b'504 Late'])
+def test_answer_that_claims_both_to_have_run_and_not_is_not_repeated(status):
+    """Guards against unsafe calls that ran at a second upstream."""
+    claim = a_raw_answer(status, b'X-Not-Executed: 1')
+    statuses, sent = call_two_upstreams([claim, claim], 'POST')
+    assert statuses == [status[:3]]
+    assert sent == 1
--- a/tests/test_platform_edge.py
+++ b/tests/test_platform_edge.py
@@ -198,7 +198,12 @@
         (503, {}, None),
         (503, {'X-Not-Executed': '1'}, Ending.SHED),
         (429, {'X-Not-Executed': '1'}, Ending.SHED),
+        (400, {'X-Not-Executed': '1'}, Ending.SHED),
         (421, {'X-Instance-Id': 'i-2'}, Ending.MOVED),
+        (200, {'X-Not-Executed': '1'}, None),
+        (304, {'X-Not-Executed': '1'}, None),
+        (500, {'X-Not-Executed': '1'}, None),
+        (504, {'X-Not-Executed': '1'}, None),
     ],
 )
 def test_ending_of_refused_requests(status, headers, ending):
