Fuzz what is passed on to callers with a strict reader

Change: mutated answers go through the pool and the encoding of responses, and a reader that accepts nothing beyond RFC 9112 must be able to read what comes out.

--- a/tests/answer_builders.py
+++ b/tests/answer_builders.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import re
 import socket
 import struct
 import time
@@ -412,6 +413,28 @@
     return asyncio.run(scenario())
 
 
+#: A head by RFC 9112, as a caller may read it that allows nothing else.
+_STRICT_HEAD = re.compile(
+    rb'HTTP/1\.1 [2-5][0-9]{2} [\t \x21-\x7e\x80-\xff]*\r\n'
+    rb"(?:[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t \x21-\x7e\x80-\xff]*\r\n)*\r\n"
+)
+_LENGTH_FIELD = re.compile(rb'(?i)\r\ncontent-length:([^\r]*)')
+
+
+def is_strict_response(received, method):
+    """Whether ``received`` is one response and nothing else."""
+    head = _STRICT_HEAD.match(received)
+    if head is None:
+        return False
+    lengths = [text.strip() for text in _LENGTH_FIELD.findall(head.group())]
+    if not all(length.isdigit() for length in lengths) or len(lengths) > 1:
+        return False
+    body = received[head.end() :]
+    if method == 'HEAD' or not lengths:
+        return not body
+    return len(body) == int(lengths[0])
+
+
 def status_of(response):
     return response[0].split(b' ', 2)[1]
 
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -27,7 +27,16 @@
 from chervilstep.hooks import HANDLERS, MESSAGES
 from chervilstep.node import new_node
 from chervilstep.platform.decoding import decode_config, decode_upstream_entry
+from chervilstep.platform.dialect import PLATFORM_DIALECT
 from chervilstep.platform.store import new_store_client
+from tests.answer_builders import (
+    MALFORMED_HEADS,
+    ODD_STATUSES,
+    SOUND_ANSWERS,
+    a_raw_answer,
+    a_raw_call,
+    is_strict_response,
+)
 from tests.builders import a_node, a_settings, set_instances
 from tests.document_builders import a_configured_node
 from tests.fuzz_builders import (
@@ -168,6 +177,34 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize('method', ['GET', 'HEAD'])
+@pytest.mark.parametrize('seed', range(4))
+def test_strict_caller_can_read_what_is_passed_on(seed, method):
+    """Guards against broken answers that reach callers."""
+    texts = [
+        *SOUND_ANSWERS.values(),
+        *MALFORMED_HEADS.values(),
+        *(a_raw_answer(status) for status in ODD_STATUSES),
+    ]
+
+    async def scenario():
+        for sent in some_mutated(texts, INPUT_COUNT // 2, seed):
+            pool = a_pool(dialect=PLATFORM_DIALECT)
+            async with a_raw_upstream(sent, closes=True) as (_, upstream):
+                call = a_raw_call(method)
+                attempt = a_live_attempt(upstream, 0.3, call)
+                answer = (await pool.send(attempt)).answer
+            pool.close()
+            if answer is not None:
+                response = Response(
+                    answer.status, answer.headers, answer.body, answer.reason
+                )
+                parts = response.encode(is_head=method == 'HEAD', closes=False)
+                assert is_strict_response(b''.join(parts), method), sent
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize('seed', range(2))
 def test_store_client_survives_malformed_answers(seed):
     listing = {'items': [], 'hasMore': False, 'asOf': 3}
