--- a/chervilstep/adapters/answers.py
+++ b/chervilstep/adapters/answers.py
@@ -239,11 +239,7 @@
 
 @final
 class AnswerConnection(http1connection.HTTP1Connection):
-    """A client connection that reads one response.
-
-    The base class takes every exception of the reader for a fault, logs it and
-    raises another one. A cancelled attempt must end as cancelled.
-    """
+    """A client connection that reads one response."""
 
     # The base class has a __dict__; the slots declare the attributes.
     __slots__ = ('_reader',)
@@ -293,6 +289,8 @@
     async def _deliver_body(
         self, delegate: httputil.HTTPMessageDelegate, data: bytes
     ) -> None:
+        # The base class takes every exception of the reader for a fault, logs
+        # it and raises another one. A cancelled attempt must end as cancelled.
         stored = delegate.data_received(data)
         if stored is not None:
             await stored
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -11,7 +11,6 @@
 from chervilstep.types import Verdict
 from tests.answer_builders import (
     CLAIMS,
-    FRONT_ENDS,
     MALFORMED_CHUNKS,
     MALFORMED_FRAMINGS,
     MALFORMED_HEADS,
@@ -22,20 +21,23 @@
     SOUND_BEHIND_INTERIM,
     SOUND_CHUNKED,
     SOUND_REFUSAL,
-    a_breaking_upstream,
     a_chunked_answer,
     a_framed_answer,
     a_head_with,
     a_raw_answer,
     a_raw_call,
     a_raw_request,
+    status_of,
+)
+from tests.builders import an_upstream
+from tests.entry_builders import (
+    FRONT_ENDS,
+    a_breaking_upstream,
     a_scripted_upstream,
     an_entry,
     exchange,
     fetch_through,
-    status_of,
 )
-from tests.builders import an_upstream
 from tests.wire_builders import a_live_attempt, a_pool, a_raw_upstream
 
 
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -16,7 +16,6 @@
     MALFORMED_HEADS,
     ODD_STATUSES,
     a_raw_answer,
-    check_answer,
 )
 from tests.builders import (
     a_node,
@@ -24,6 +23,9 @@
     set_instances,
     some_instances,
 )
+from tests.entry_builders import (
+    check_answer,
+)
 from tests.load_builders import run_attempt
 from tests.wire_builders import a_raw_upstream
 
--- a/tests/test_keepalive.py
+++ b/tests/test_keepalive.py
@@ -9,10 +9,12 @@
 from chervilstep.exceptions import FetchError
 from tests.answer_builders import (
     ODD_STATUSES,
-    a_breaking_upstream,
     a_framed_answer,
     a_raw_answer,
 )
+from tests.entry_builders import (
+    a_breaking_upstream,
+)
 from tests.wire_builders import (
     ANSWER,
     ENDLESS_ANSWERS,
