Take an answer that stops within its head for a bad answer

Callers whose request had got a few such answers were refused with 503: the request was quarantined as one that crashes upstreams.

Cause: an attempt that ended without a whole head counted as lost, as after a crash, also if bytes of a head had arrived.

Change: AnswerConnection looks for bytes that no read has returned, which the stream keeps after its close, and records the fault. A connection that ends before the first byte is still lost.

--- a/chervilstep/adapters/answers.py
+++ b/chervilstep/adapters/answers.py
@@ -9,6 +9,7 @@
 
 from chervilstep.adapters.buffering import Reservation
 from chervilstep.adapters.requests import MAX_COPIED_BYTES
+from chervilstep.adapters.streams import InspectableStream
 from chervilstep.calls import Answer, Headers
 from chervilstep.queries.headers import (
     answer_headers,
@@ -242,17 +243,18 @@
     """A client connection that reads one response."""
 
     # The base class has a __dict__; the slots declare the attributes.
-    __slots__ = ('_reader',)
+    __slots__ = ('_inspectable', '_reader')
 
     def __init__(
         self,
-        stream: iostream.IOStream,
+        stream: InspectableStream,
         parameters: http1connection.HTTP1ConnectionParameters,
         reader: AnswerReader,
     ) -> None:
         """Creates a connection on an open stream."""
         super().__init__(stream, True, parameters)
         self._reader = reader
+        self._inspectable = stream
 
     @property
     def reader(self) -> AnswerReader:
@@ -268,8 +270,7 @@
         try:
             await self.read_response(self._reader)
         except iostream.StreamClosedError:
-            if isinstance(self.stream.error, iostream.UnsatisfiableReadError):
-                self._reader.record_fault('head or chunk size above its limit')
+            self._record_lost_connection()
             raise
         # A body may end with its connection, unless that was reset.
         if self.stream.error is not None and not self._reader.is_self_delimited:
@@ -286,6 +287,13 @@
             self._reader.record_fault(str(error))
         super().close()
 
+    def _record_lost_connection(self) -> None:
+        """Records a fault unless the connection ended before the response."""
+        if isinstance(self.stream.error, iostream.UnsatisfiableReadError):
+            self._reader.record_fault('head or chunk size above its limit')
+        elif self._inspectable.has_partial_input and not self._reader.has_head:
+            self._reader.record_fault('connection closed within the head')
+
     async def _deliver_body(
         self, delegate: httputil.HTTPMessageDelegate, data: bytes
     ) -> None:
--- a/chervilstep/adapters/streams.py
+++ b/chervilstep/adapters/streams.py
@@ -29,13 +29,21 @@
     # The base class has a __dict__, and this class adds no attributes.
     __slots__ = ()
 
+    @property
+    def has_partial_input(self) -> bool:
+        """Whether bytes were received that no read has returned.
+
+        They stay after a close.
+        """
+        return bool(self._read_buffer_size)
+
     @property
     def has_unread_input(self) -> bool:
         """Whether bytes, the end of the stream or an error were not read yet.
 
         They may still be in the kernel if the loop has not run since.
         """
-        if self._read_buffer_size or self.closed():
+        if self.has_partial_input or self.closed():
             return True
         return has_pending_input(self.socket)
 
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -108,7 +108,17 @@
     assert outcome.answer is None
 
 
-@pytest.mark.parametrize('answer', [MALFORMED_HEADS['line: no colon'], b''])
+@pytest.mark.parametrize(
+    'answer',
+    [
+        MALFORMED_HEADS['line: no colon'],
+        SOUND[:1],
+        SOUND[:20],
+        SOUND[:-5],
+        SOUND[:-1],
+        b'',
+    ],
+)
 def test_request_is_suspected_only_of_lost_connections(answer):
     """Guards against a request that was held back for its bad answers."""
     response, entry, _ = fetch_through(PLATFORM_EDGE, answer)
@@ -288,6 +298,7 @@
                 pool.close()
             assert outcome.answer is None, whole[:end]
             assert outcome.verdict is Verdict.MAY_HAVE_RUN, whole[:end]
+            assert (outcome.ending is Ending.LOST) is (not end)
             assert not outcome.notice.is_leaving
 
     asyncio.run(scenario())
