--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -97,11 +97,11 @@
 
 
 @contextlib.asynccontextmanager
-async def a_scripted_upstream(answers, name='strike-1'):
+async def a_scripted_upstream(answers):
     server = ScriptedUpstream(answers)
     port = await server.start()
     try:
-        yield server, builders.an_upstream(name, port=port)
+        yield server, builders.an_upstream(port=port)
     finally:
         await server.stop()
 
@@ -212,12 +212,12 @@
     return asyncio.run(scenario())
 
 
-def fetch_through(kind, answer, method='GET', closes=True):
+def fetch_through(kind, answer, method='GET'):
     """Fetches an answer through an entry; returns it, the entry, the server."""
 
     async def scenario():
         async with (
-            a_raw_upstream(answer, closes=closes) as (server, upstream),
+            a_raw_upstream(answer, closes=True) as (server, upstream),
             an_entry(kind, upstream) as entry,
         ):
             request = a_raw_request(method)
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -41,13 +41,13 @@
 from tests.wire_builders import a_live_attempt, a_pool, a_raw_upstream
 
 
-def send_once(*answers, method='GET', closes=True, dialect=PLATFORM_DIALECT):
+def send_once(*answers, method='GET'):
     """Sends one attempt; the answers follow each other on the connection."""
 
     async def scenario():
-        pool = a_pool(dialect=dialect)
+        pool = a_pool(dialect=PLATFORM_DIALECT)
         raw = b''.join(answers)
-        async with a_raw_upstream(raw, closes=closes) as (_, upstream):
+        async with a_raw_upstream(raw, closes=True) as (_, upstream):
             call = a_raw_call(method)
             outcome = await pool.send(a_live_attempt(upstream, 1, call))
             pool.close()
@@ -159,15 +159,13 @@
     assert not entry.node.counters.total('bad_answers', service='strike')
 
 
-def break_off(sent, *, resets, method='GET'):
+def break_off(sent, *, resets):
     """Sends one attempt to an upstream that breaks off its answer."""
 
     async def scenario():
         pool = a_pool(dialect=PLATFORM_DIALECT)
         async with a_breaking_upstream(sent, resets=resets) as (_, upstream):
-            outcome = await pool.send(
-                a_live_attempt(upstream, 2, a_raw_call(method))
-            )
+            outcome = await pool.send(a_live_attempt(upstream, 2, a_raw_call()))
             pool.close()
         return outcome
 
--- a/tests/test_keepalive.py
+++ b/tests/test_keepalive.py
@@ -1,6 +1,7 @@
 """Tests of the client of one address with a persistent connection."""
 
 import asyncio
+import contextlib
 import time
 
 import pytest
@@ -89,27 +90,24 @@
     asyncio.run(scenario())
 
 
-def test_body_that_was_cut_by_a_reset_raises_fetch_error():
-    """Guards against health and store answers that only looked complete."""
+def fetch_until_the_end(sent, *, resets):
+    """Fetches a body without a length, whose connection ends behind it."""
 
     async def scenario():
-        sent = a_framed_answer(body=b'the first half')
-        async with a_breaking_upstream(sent, resets=True) as (_, upstream):
+        async with a_breaking_upstream(sent, resets=resets) as (_, upstream):
             client = KeepAliveClient(upstream.address, MAX_BODY_BYTES)
-            with pytest.raises(FetchError):
-                await client.get('/health', TIMEOUT_SECONDS)
-            client.close()
+            with contextlib.closing(client):
+                return await client.get('/health', TIMEOUT_SECONDS)
 
-    asyncio.run(scenario())
+    return asyncio.run(scenario())
 
 
-def test_body_that_ends_with_its_connection_is_complete():
-    async def scenario():
-        sent = a_framed_answer(body=b'the whole')
-        async with a_breaking_upstream(sent, resets=False) as (_, upstream):
-            client = KeepAliveClient(upstream.address, MAX_BODY_BYTES)
-            fetched = await client.get('/health', TIMEOUT_SECONDS)
-            client.close()
-        assert fetched.body == b'the whole'
+def test_body_that_was_cut_by_a_reset_raises_fetch_error():
+    """Guards against health and store answers that only looked complete."""
+    with pytest.raises(FetchError):
+        fetch_until_the_end(a_framed_answer(body=b'the half'), resets=True)
 
-    asyncio.run(scenario())
+
+def test_body_that_ends_with_its_connection_is_complete():
+    sent = a_framed_answer(body=b'the whole')
+    assert fetch_until_the_end(sent, resets=False).body == b'the whole'
