--- a/chervilstep/adapters/answers.py
+++ b/chervilstep/adapters/answers.py
@@ -87,7 +87,7 @@
 
     @property
     def fault(self) -> str | None:
-        """What makes the response no answer, or None."""
+        """What is malformed in the response, or None."""
         return self._fault
 
     @property
@@ -149,7 +149,7 @@
         )
 
     def record_fault(self, fault: str) -> None:
-        """Records what makes the response no answer, unless it is known."""
+        """Records what is malformed in the response, if nothing is yet."""
         if self._fault is None:
             self._fault = fault[:MAX_FAULT_CHARACTERS]
 
--- a/chervilstep/adapters/keepalive.py
+++ b/chervilstep/adapters/keepalive.py
@@ -64,7 +64,7 @@
 
         Raises:
             FetchError: No complete answer arrived in time.
-            BrokenAnswerError: What arrived is no answer.
+            BrokenAnswerError: The answer is malformed.
         """
         try:
             async with asyncio.timeout(timeout_seconds):
--- a/chervilstep/commands/health.py
+++ b/chervilstep/commands/health.py
@@ -244,7 +244,7 @@
 def record_broken_check(
     node: Node, service: Service, upstream: str, fault: str, now: Instant
 ) -> None:
-    """Records that a health check got bytes that are no answer.
+    """Records that a health check got a malformed answer.
 
     The upstream can be reached, so it has not just started.
     """
--- a/chervilstep/exceptions.py
+++ b/chervilstep/exceptions.py
@@ -114,6 +114,6 @@
 
 
 class BrokenAnswerError(FetchError):
-    """A request sent by this instance got bytes that are no answer."""
+    """A request sent by this instance got a malformed answer."""
 
     __slots__ = ()
--- a/lab/client.py
+++ b/lab/client.py
@@ -29,7 +29,7 @@
 
 @final
 class BrokenAnswer(Exception):
-    """The request was sent and bytes that are no answer were received."""
+    """The request was sent and a malformed answer was received."""
 
 
 @final
@@ -117,7 +117,7 @@
         Raises:
             NotSent: No connection could be opened.
             NoAnswer: The connection was lost, or the timeout expired.
-            BrokenAnswer: What was received is no answer.
+            BrokenAnswer: The answer is malformed.
         """
         stream = await self._acquire_stream(address)
         response = Response()
--- a/tests/answer_builders.py
+++ b/tests/answer_builders.py
@@ -32,7 +32,7 @@
     b'Retry-After: 3',
 ]
 #: Status codes outside the range of RFC 9110, section 15.
-ODD_STATUSES = [b'000 None', b'099 Low', b'600 High', b'999 Top']
+INVALID_STATUSES = [b'000 None', b'099 Low', b'600 High', b'999 Top']
 
 #: Bytes that a name of a field cannot have (RFC 9110, section 5.1).
 NAMES = {
--- a/tests/test_adminclient.py
+++ b/tests/test_adminclient.py
@@ -9,8 +9,8 @@
 from chervilstep.adapters.adminclient import fetch_each
 from chervilstep.exceptions import OperatorError
 from tests.answer_builders import (
+    INVALID_STATUSES,
     MALFORMED_HEADS,
-    ODD_STATUSES,
     a_framed_answer,
     a_raw_answer,
 )
@@ -32,7 +32,7 @@
     'name': MALFORMED_HEADS['name: blank within'],
     **{
         f'status {status[:3].decode()}': a_raw_answer(status, body=b'{}')
-        for status in ODD_STATUSES
+        for status in INVALID_STATUSES
     },
 }
 
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -11,10 +11,10 @@
 from chervilstep.types import Verdict
 from tests.answer_builders import (
     CLAIMS,
+    INVALID_STATUSES,
     MALFORMED_CHUNKS,
     MALFORMED_FRAMINGS,
     MALFORMED_HEADS,
-    ODD_STATUSES,
     REQUEST_ID,
     SOUND,
     SOUND_ANSWERS,
@@ -57,7 +57,7 @@
 
 
 @pytest.mark.parametrize('method', ['GET', 'POST', 'HEAD'])
-@pytest.mark.parametrize('status', ODD_STATUSES)
+@pytest.mark.parametrize('status', INVALID_STATUSES)
 @pytest.mark.parametrize('kind', FRONT_ENDS)
 def test_status_outside_the_standard_range_never_reaches_callers(
     kind, status, method
@@ -70,10 +70,10 @@
     assert len(server.requests) == 1
 
 
-@pytest.mark.parametrize('status', ODD_STATUSES)
+@pytest.mark.parametrize('status', INVALID_STATUSES)
 @pytest.mark.parametrize('more', [b'', SOUND], ids=['alone', 'and another'])
-def test_nothing_is_believed_of_an_answer_with_an_odd_status(status, more):
-    """Guards against "not run" on the word of an answer that is none."""
+def test_nothing_is_believed_of_an_answer_with_an_invalid_status(status, more):
+    """Guards against "not run" on the word of an invalid answer."""
     outcome = send_once(a_raw_answer(status, *CLAIMS), more)
     assert outcome.ending is Ending.BAD_ANSWER
     assert outcome.verdict is Verdict.MAY_HAVE_RUN
@@ -84,7 +84,7 @@
     assert not outcome.notice.pause_seconds
 
 
-def test_odd_status_after_an_interim_answer_is_no_answer():
+def test_invalid_status_after_an_interim_answer_is_no_answer():
     interim = b'HTTP/1.1 103 Early Hints\r\n\r\n'
     outcome = send_once(interim, a_raw_answer(b'000 None'))
     assert outcome.ending is Ending.BAD_ANSWER
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -30,8 +30,8 @@
 from chervilstep.platform.dialect import PLATFORM_DIALECT
 from chervilstep.platform.store import new_store_client
 from tests.answer_builders import (
+    INVALID_STATUSES,
     MALFORMED_HEADS,
-    ODD_STATUSES,
     SOUND_ANSWERS,
     a_raw_answer,
     a_raw_call,
@@ -184,7 +184,7 @@
     texts = [
         *SOUND_ANSWERS.values(),
         *MALFORMED_HEADS.values(),
-        *(a_raw_answer(status) for status in ODD_STATUSES),
+        *(a_raw_answer(status) for status in INVALID_STATUSES),
     ]
 
     async def scenario():
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -13,8 +13,8 @@
 from chervilstep.services import Service
 from tests.answer_builders import (
     CLAIMS,
+    INVALID_STATUSES,
     MALFORMED_HEADS,
-    ODD_STATUSES,
     a_raw_answer,
 )
 from tests.builders import (
@@ -72,9 +72,9 @@
     assert upstream.name not in node.loads.by_upstream
 
 
-@pytest.mark.parametrize('status', ODD_STATUSES)
-def test_nothing_is_believed_of_a_health_answer_with_an_odd_status(status):
-    """Guards against notices and limits of an answer that is none."""
+@pytest.mark.parametrize('status', INVALID_STATUSES)
+def test_nothing_is_believed_of_a_health_answer_with_an_invalid_status(status):
+    """Guards against notices and limits of an invalid answer."""
     node, upstream = check_answer(a_raw_answer(status, *CLAIMS))
     health = node.health.upstream_health(upstream.name)
     assert health.report is None
@@ -85,8 +85,8 @@
     assert health.failures == 1
 
 
-@pytest.mark.parametrize('status', ODD_STATUSES)
-def test_health_answer_with_an_odd_status_moves_no_address(status):
+@pytest.mark.parametrize('status', INVALID_STATUSES)
+def test_health_answer_with_an_invalid_status_moves_no_address(status):
     answer = a_raw_answer(status, b'X-Instance-Id: other')
     node, upstream = check_answer(answer)
     health = node.health.upstream_health(upstream.name)
--- a/tests/test_keepalive.py
+++ b/tests/test_keepalive.py
@@ -9,7 +9,7 @@
 from chervilstep.adapters.keepalive import KeepAliveClient
 from chervilstep.exceptions import FetchError
 from tests.answer_builders import (
-    ODD_STATUSES,
+    INVALID_STATUSES,
     a_framed_answer,
     a_raw_answer,
 )
@@ -78,8 +78,8 @@
     asyncio.run(scenario())
 
 
-@pytest.mark.parametrize('status', ODD_STATUSES)
-def test_answer_with_an_odd_status_raises_fetch_error(status):
+@pytest.mark.parametrize('status', INVALID_STATUSES)
+def test_answer_with_an_invalid_status_raises_fetch_error(status):
     async def scenario():
         async with a_raw_upstream(a_raw_answer(status)) as (_, upstream):
             client = KeepAliveClient(upstream.address, MAX_BODY_BYTES)
--- a/tests/test_lab_stand_ins.py
+++ b/tests/test_lab_stand_ins.py
@@ -17,8 +17,8 @@
 from lab.queries.measuring import check_outcomes
 from lab.store import Store
 from tests.answer_builders import (
+    INVALID_STATUSES,
     MALFORMED_HEADS,
-    ODD_STATUSES,
     a_framed_answer,
     a_raw_answer,
 )
@@ -167,8 +167,8 @@
     return asyncio.run(scenario())
 
 
-@pytest.mark.parametrize('status', ODD_STATUSES)
-def test_caller_notices_odd_statuses(status):
+@pytest.mark.parametrize('status', INVALID_STATUSES)
+def test_caller_notices_invalid_statuses(status):
     """Guards against checks that count a broken answer as an answer."""
     checks = checks_of_a_call(a_raw_answer(status, body=OWN_BODY))
     assert checks.wrong_answers == 1
--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -24,8 +24,8 @@
 from chervilstep.services import Upstream, UpstreamState
 from chervilstep.snapshot import ZoneState
 from tests.answer_builders import (
+    INVALID_STATUSES,
     MALFORMED_HEADS,
-    ODD_STATUSES,
     a_framed_answer,
     a_raw_answer,
 )
@@ -158,7 +158,7 @@
 BROKEN_REPORTS = {
     **{
         status.decode(): a_raw_answer(status, body=A_REPORT)
-        for status in ODD_STATUSES
+        for status in INVALID_STATUSES
     },
     'malformed head': MALFORMED_HEADS['name: blank within'],
     'cut': a_framed_answer(b'Content-Length: 99', body=A_REPORT),
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -11,10 +11,10 @@
 from chervilstep.platform.source import StoreSource
 from chervilstep.platform.store import new_store_client
 from tests.answer_builders import (
+    INVALID_STATUSES,
     MALFORMED_CHUNKS,
     MALFORMED_FRAMINGS,
     MALFORMED_HEADS,
-    ODD_STATUSES,
     a_chunked_answer,
     a_framed_answer,
     a_raw_answer,
@@ -284,7 +284,7 @@
     **MALFORMED_HEADS,
     **{
         f'status {status.decode()}': a_raw_answer(status)
-        for status in ODD_STATUSES
+        for status in INVALID_STATUSES
     },
     **{
         f'framing: {kind}': a_framed_answer(*fields, body=b'{"asOf": 1}')
--- a/tests/test_tracing.py
+++ b/tests/test_tracing.py
@@ -5,7 +5,10 @@
 from chervilstep import cmdline
 from chervilstep.adapters.logs import format_line, parse_line
 from chervilstep.exceptions import LogError
+from chervilstep.platform.edge import PLATFORM_EDGE
 from chervilstep.queries.tracing import trace_request
+from tests.answer_builders import REQUEST_ID, a_raw_answer
+from tests.entry_builders import fetch_through
 from tests.log_builders import a_log_line
 
 ID = '9c41d07be2a35f68'
@@ -84,6 +87,31 @@
     ]
 
 
+def test_broken_health_answers_of_a_tried_upstream_are_included():
+    lines = parse_logs(
+        one=[
+            a_log_line(
+                'check_broken', 1, upstream='i-1/17', fault='status 000'
+            ),
+            a_log_line(
+                'check_broken', 1, upstream='i-2/17', fault='status 000'
+            ),
+            a_log_line('attempt_ended', 2, request=ID, upstream='i-1/17'),
+        ]
+    )
+    assert traced_events(lines) == ['check_broken', 'attempt_ended']
+
+
+def test_trace_names_the_upstream_and_the_fault_of_a_broken_answer():
+    _, entry, _ = fetch_through(PLATFORM_EDGE, a_raw_answer(b'000 None'))
+    texts = [a_log_line(name, 1, **fields) for name, fields in entry.events]
+    traced = trace_request(REQUEST_ID, parse_logs(one=texts))
+    (attempt,) = [line for line in traced if line.event == 'attempt_ended']
+    printed = format_line(attempt)
+    assert 'upstream="strike-1"' in printed
+    assert 'fault="status 000 is not within 100 to 599"' in printed
+
+
 def test_format_of_a_line():
     text = a_log_line('request_refused', 3.5, request=ID, reason='queue-full')
     assert (
