Share the turns of the loop among the bodies of all callers

Callers saw that requests beside 300 bodies in chunks of one byte were answered after more than 5 s, and still 6 s after that crowd had left.

Cause: each body read up to 32 chunks in a turn of the loop, with three reads a chunk, and nothing bounded all of them together. The native interface read its requests with Tornado's server, on another path.

Change: bodies take turns. Chunks are scanned in what was read, without a wait for each. A partial head has the configured timeout of heads. The native interface is served by the same server; its refusals keep their form.

--- a/chervilstep/adapters/backlog.py
+++ b/chervilstep/adapters/backlog.py
@@ -11,8 +11,8 @@
 
 #: A turn of the event loop accepts at most so many connections.
 ACCEPTS_PER_TURN: Final = 16
-#: How long no connection is accepted after a lack of descriptors or memory.
-PAUSE_SECONDS: Final = 0.1
+#: How long new connections wait in the backlog after a lack of room.
+PAUSE_SECONDS: Final = 0.05
 _SHORTAGES: Final = frozenset(
     (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 )
@@ -22,19 +22,31 @@
 class Acceptor:
     """Accepts the connections of one listening socket.
 
-    Without descriptors it pauses: the connections in the backlog keep the
-    socket readable, and the loop would call it again at once.
+    Without room or descriptors it pauses: the connections in the backlog keep
+    the socket readable, and the loop would call it again at once.
     """
 
-    __slots__ = ('_accept', '_is_stopped', '_listening', '_on_shortage')
+    __slots__ = (
+        '_accept',
+        '_has_room',
+        '_is_stopped',
+        '_listening',
+        '_on_shortage',
+    )
 
     def __init__(
         self,
         listening: socket.socket,
         accept: Callable[[socket.socket, object], None],
         on_shortage: Callable[[], None],
+        has_room: Callable[[], bool],
     ) -> None:
-        """Creates an acceptor; ``start`` begins to accept."""
+        """Creates an acceptor; ``start`` begins to accept.
+
+        ``has_room`` is called before each connection, and ``on_shortage`` where
+        the process has no descriptor for it.
+        """
+        self._has_room = has_room
         self._listening = listening
         self._accept = accept
         self._on_shortage = on_shortage
@@ -52,26 +64,33 @@
         asyncio.get_running_loop().remove_reader(self._listening)
 
     def _accept_some(self) -> None:
-        for _ in range(ACCEPTS_PER_TURN):
-            if self._is_stopped:
-                return
-            try:
-                connection, address = self._listening.accept()
-            except BlockingIOError:
-                return
-            except OSError as fault:
-                if fault.errno in _SHORTAGES:
+        with contextlib.suppress(BlockingIOError):
+            for _ in range(ACCEPTS_PER_TURN):
+                if self._is_stopped:
+                    return
+                if not self._has_room() or not self._accept_one():
                     self._pause()
                     return
-                # The caller has closed the connection in the meantime.
-                continue
-            self._accept(connection, address)
+
+    def _accept_one(self) -> bool:
+        """Accepts a connection; returns False for want of a descriptor."""
+        try:
+            connection, address = self._listening.accept()
+        except BlockingIOError:
+            raise
+        except OSError as fault:
+            if fault.errno in _SHORTAGES:
+                self._on_shortage()
+                return False
+            # The caller has closed the connection in the meantime.
+            return True
+        self._accept(connection, address)
+        return True
 
     def _pause(self) -> None:
         loop = asyncio.get_running_loop()
         loop.remove_reader(self._listening)
         loop.call_later(PAUSE_SECONDS, self.start)
-        self._on_shortage()
 
 
 class BacklogServer(tcpserver.TCPServer):
@@ -87,13 +106,20 @@
         """Starts to accept connections on listening sockets."""
         for listening in sockets:
             acceptor = Acceptor(
-                listening, self._handle_connection, self.handle_shortage
+                listening,
+                self._handle_connection,
+                self.handle_shortage,
+                self.has_room,
             )
             number = listening.fileno()
             self._sockets[number] = listening
             self._handlers[number] = acceptor.stop
             acceptor.start()
 
+    def has_room(self) -> bool:
+        """Whether one more connection can be accepted now."""
+        return True
+
     def handle_shortage(self) -> None:
         """Called when a connection could not be accepted; does nothing."""
 
--- a/chervilstep/adapters/buffering.py
+++ b/chervilstep/adapters/buffering.py
@@ -7,7 +7,11 @@
 
 from tornado import httputil
 
-from chervilstep.commands.memory import record_full_memory, take_bytes
+from chervilstep.commands.memory import (
+    record_full_memory,
+    take_bytes,
+    want_memory,
+)
 from chervilstep.exceptions import OverloadError
 from chervilstep.memory import Content, Holding, new_holding
 from chervilstep.node import Node
@@ -44,6 +48,11 @@
         """The bytes so far; the owner of the body must keep a reference."""
         return self._holding
 
+    @property
+    def is_wanted(self) -> bool:
+        """Whether others have found no room lately."""
+        return not self._node.memory.wanted_until.has_passed(self._clock())
+
     async def extend(self, size: int) -> bool:
         """Reserves more bytes; waits for room.
 
@@ -54,6 +63,7 @@
         give_up_at = new_deadline(self._clock(), MAX_WAIT_SECONDS)
         may_wait = can_ever_hold(self._node, size)
         while not self.try_extend(size):
+            want_memory(self._node, self._clock())
             if not may_wait or give_up_at.has_passed(self._clock()):
                 record_full_memory(self._node, self._holding, size)
                 return False
@@ -105,9 +115,9 @@
         self._rng = rng
 
     @property
-    def reservation(self) -> Reservation:
-        """The reservation, for a front end that refuses by itself."""
-        return self._reservation
+    def is_wanted(self) -> bool:
+        """Whether others have found no room lately."""
+        return self._reservation.is_wanted
 
     @property
     def holding(self) -> Holding:
@@ -121,11 +131,15 @@
             OverloadError: There is no room. The request was not passed on.
         """
         if not await self._reservation.extend(size):
-            raise OverloadError(
-                MEMORY_FULL.status,
-                f'{MEMORY_FULL.reason}: {MEMORY_FULL.message}',
-                retry_seconds=self._rng.uniform(*RETRY_SECONDS),
-            )
+            raise self.refusal()
+
+    def refusal(self) -> OverloadError:
+        """Returns the refusal of a request without room."""
+        return OverloadError(
+            MEMORY_FULL.status,
+            f'{MEMORY_FULL.reason}: {MEMORY_FULL.message}',
+            retry_seconds=self._rng.uniform(*RETRY_SECONDS),
+        )
 
 
 def new_reservation(
--- a/chervilstep/adapters/framing.py
+++ b/chervilstep/adapters/framing.py
@@ -1,29 +1,35 @@
 """Reads request bodies and rejects ambiguous framing."""
 
-import asyncio
-import itertools
 import re
 from collections.abc import Awaitable, Callable
-from typing import Final, TypeAlias, cast, final
+from typing import Final, TypeAlias, final
 
-from tornado import httputil, iostream
+from tornado import httputil
 
+from chervilstep.adapters.callerinput import CallerInput
+from chervilstep.adapters.turnstile import Turnstile
 from chervilstep.calls import Body
 from chervilstep.exceptions import RequestError
 
 #: The longest chunk-size line, including chunk extensions.
 MAX_CHUNK_LINE_BYTES: Final = 256
 MAX_TRAILER_BYTES: Final = 8192
-#: Long bodies are read in pieces of this size.
+#: Bodies up to this size are read at once.
+SMALL_BODY_BYTES: Final = 64 * 1024
+#: A turn of the event loop reads about so much of a body.
 PIECE_BYTES: Final = 64 * 1024
-#: A turn of the event loop reads at most so many chunks of one body, which takes
-#: less than a millisecond.
-CHUNKS_PER_TURN: Final = 32
+#: A body may have so many chunks before it waits for its turns.
+FREE_CHUNKS: Final = 32
+#: A turn of the event loop reads at most so many chunks of all bodies together,
+#: which takes about a millisecond.
+CHUNKS_PER_TURN: Final = 512
 #: Reserves bytes before they are read; raises ``OverloadError`` without room.
 Reserve: TypeAlias = Callable[[int], Awaitable[None]]
 
 _LENGTH_PATTERN: Final = re.compile(r'[0-9]{1,18}')
-_CHUNK_SIZE_PATTERN: Final = re.compile(rb'[0-9a-fA-F]{1,15}')
+_CHUNK_LINE_PATTERN: Final = re.compile(
+    rb'[ \t]*([0-9a-fA-F]{1,15})[ \t]*(?:;.*?)?\r\n', re.DOTALL
+)
 _LINE_END: Final = b'\r\n'
 
 
@@ -75,15 +81,16 @@
 
 
 async def read_body(
-    stream: iostream.IOStream,
+    caller_input: CallerInput,
     framing: Framing,
     limit_bytes: int,
     reserve: Reserve,
+    turnstile: Turnstile,
 ) -> Body:
     """Reads a complete body.
 
     The bytes of chunks are reserved before they are read; those of a body with
-    a length must be reserved already.
+    a length must be reserved already. Long bodies take turns at ``turnstile``.
 
     Raises:
         RequestError: A chunk is malformed, or the body is above the limit.
@@ -91,24 +98,13 @@
         StreamClosedError: The caller closed the connection.
     """
     if framing.is_chunked:
-        return await _read_chunks(stream, limit_bytes, reserve)
-    if not framing.length:
-        return b''
-    if framing.length <= PIECE_BYTES:
-        return await stream.read_bytes(framing.length)
-    return await _read_in_place(stream, framing.length)
-
-
-async def _read_in_place(stream: iostream.IOStream, length: int) -> bytearray:
-    """Reads a long body without a second copy of it."""
-    body = bytearray(length)
-    for start in range(0, length, PIECE_BYTES):
-        end = min(start + PIECE_BYTES, length)
-        # Tornado accepts any writable buffer.
-        piece = cast(bytearray, memoryview(body)[start:end])
-        await stream.read_into(piece)
-        # A read that finds its bytes at once does not yield to the loop.
-        await asyncio.sleep(0)
+        reader = ChunkReader(caller_input, limit_bytes, reserve, turnstile)
+        return await reader.read()
+    buffered = caller_input.take_some(framing.length)
+    if len(buffered) == framing.length:
+        return buffered
+    body = bytearray(buffered)
+    await _append_pieces(caller_input, body, framing.length, turnstile)
     return body
 
 
@@ -120,51 +116,173 @@
     return int(lengths[0])
 
 
-async def _read_chunks(
-    stream: iostream.IOStream, limit_bytes: int, reserve: Reserve
-) -> bytearray:
-    body = bytearray()
-    for number in itertools.count():
-        if not number % CHUNKS_PER_TURN:
-            # Reads that find their bytes at once do not yield to the loop.
-            await asyncio.sleep(0)
-        size = await _read_chunk_size(stream)
-        if not size:
-            break
-        if size > limit_bytes - len(body):
-            raise RequestError(413, 'The body is too large.')
-        await reserve(size)
-        await _read_chunk(stream, size, body)
-    await _skip_trailers(stream)
-    return body
-
-
-async def _read_chunk(
-    stream: iostream.IOStream, size: int, body: bytearray
+async def _append_pieces(
+    caller_input: CallerInput, body: bytearray, end: int, turnstile: Turnstile
 ) -> None:
-    """Appends a chunk to ``body``, piece by piece."""
-    remaining = size
-    while remaining:
-        piece = await stream.read_bytes(
-            min(remaining, PIECE_BYTES), partial=True
-        )
+    """Reads until ``body`` has ``end`` bytes, a piece in each turn.
+
+    The memory of the body grows with it: what the kernel holds of a body and
+    what was read of it never take more than was reserved.
+    """
+    missing = end - len(body)
+    turn_bytes = PIECE_BYTES
+    while missing:
+        piece = await caller_input.read_some(missing)
         body += piece
-        remaining -= len(piece)
-    if await stream.read_bytes(len(_LINE_END)) != _LINE_END:
-        raise RequestError(400, 'A chunk has no end.')
+        missing -= len(piece)
+        turn_bytes -= len(piece)
+        if turn_bytes <= 0:
+            # A read that finds its bytes at once does not yield to the loop.
+            await turnstile.wait()
+            turn_bytes = PIECE_BYTES
+
+
+@final
+class ChunkScan:
+    """Where the next chunks are in a buffer."""
+
+    __slots__ = ('_ends_body', '_next_size', '_pieces', '_position')
+
+    def __init__(self) -> None:
+        """Creates the scan of a buffer at its start."""
+        self._pieces: list[slice] = []
+        self._position = 0
+        self._next_size = 0
+        self._ends_body = False
+
+    @property
+    def pieces(self) -> list[slice]:
+        """The data of the complete chunks."""
+        return self._pieces
+
+    @property
+    def data_bytes(self) -> int:
+        """The size of the data of the complete chunks."""
+        return sum(piece.stop - piece.start for piece in self._pieces)
+
+    @property
+    def position(self) -> int:
+        """The end of what was scanned."""
+        return self._position
 
+    @property
+    def next_size(self) -> int:
+        """The size of a chunk of which only the size line was scanned, or 0."""
+        return self._next_size
+
+    @property
+    def ends_body(self) -> bool:
+        """Whether the last chunk was scanned."""
+        return self._ends_body
+
+    def scan(self, buffer: bytearray, max_chunks: int) -> None:
+        """Scans up to ``max_chunks`` chunks.
+
+        Raises:
+            RequestError: A chunk is malformed.
+        """
+        for _ in range(max_chunks):
+            end = self._position + MAX_CHUNK_LINE_BYTES
+            line = _CHUNK_LINE_PATTERN.match(buffer, self._position, end)
+            if line is None:
+                _check_incomplete_line(buffer, self._position, end)
+                return
+            self._position = line.end()
+            size = int(line.group(1), 16)
+            if not size:
+                self._ends_body = True
+                return
+            stop = self._position + size
+            if len(buffer) < stop + len(_LINE_END):
+                self._next_size = size
+                return
+            if buffer[stop : stop + len(_LINE_END)] != _LINE_END:
+                raise RequestError(400, 'A chunk has no end.')
+            self._pieces.append(slice(self._position, stop))
+            self._position = stop + len(_LINE_END)
 
-async def _read_chunk_size(stream: iostream.IOStream) -> int:
-    line = await stream.read_until(_LINE_END, max_bytes=MAX_CHUNK_LINE_BYTES)
-    size = line[: -len(_LINE_END)].partition(b';')[0].strip(b' \t')
-    if not _CHUNK_SIZE_PATTERN.fullmatch(size):
+
+def _check_incomplete_line(buffer: bytearray, start: int, end: int) -> None:
+    if buffer.find(_LINE_END, start, end) >= 0:
         raise RequestError(400, 'The size of a chunk is not a number.')
-    return int(size, 16)
+    if len(buffer) >= end:
+        raise RequestError(431, 'The line of a chunk is too long.')
+
+
+@final
+class ChunkReader:
+    """Reads a body in chunks."""
+
+    __slots__ = (
+        '_body',
+        '_free_chunks',
+        '_input',
+        '_limit_bytes',
+        '_reserve',
+        '_turnstile',
+    )
+
+    def __init__(
+        self,
+        caller_input: CallerInput,
+        limit_bytes: int,
+        reserve: Reserve,
+        turnstile: Turnstile,
+    ) -> None:
+        """Creates a reader of one body."""
+        self._input = caller_input
+        self._limit_bytes = limit_bytes
+        self._reserve = reserve
+        self._turnstile = turnstile
+        self._body = bytearray()
+        self._free_chunks = FREE_CHUNKS
+
+    async def read(self) -> bytearray:
+        """Reads the chunks and the trailers."""
+        while not await self._read_some():
+            if not self._free_chunks:
+                await self._turnstile.wait()
+        await _skip_trailers(self._input)
+        return self._body
+
+    async def _read_some(self) -> bool:
+        """Reads some chunks; returns whether the last one was read."""
+        max_chunks = self._free_chunks or CHUNKS_PER_TURN
+        scan = ChunkScan()
+        scan.scan(self._input.buffered, max_chunks)
+        await self._take_pieces(scan)
+        self._free_chunks = max(0, self._free_chunks - len(scan.pieces))
+        if scan.next_size:
+            await self._read_chunk(scan.next_size)
+        elif len(scan.pieces) < max_chunks and not scan.ends_body:
+            await self._input.fill()
+        return scan.ends_body
+
+    async def _take_pieces(self, scan: ChunkScan) -> None:
+        if scan.pieces:
+            await self._reserve_within_limit(scan.data_bytes)
+            buffer = self._input.buffered
+            for piece in scan.pieces:
+                self._body += buffer[piece]
+        self._input.skip(scan.position)
+
+    async def _read_chunk(self, size: int) -> None:
+        """Appends a chunk that is longer than what is buffered."""
+        await self._reserve_within_limit(size)
+        end = len(self._body) + size
+        await _append_pieces(self._input, self._body, end, self._turnstile)
+        if await self._input.read_exactly(len(_LINE_END)) != _LINE_END:
+            raise RequestError(400, 'A chunk has no end.')
+
+    async def _reserve_within_limit(self, size: int) -> None:
+        if size > self._limit_bytes - len(self._body):
+            raise RequestError(413, 'The body is too large.')
+        await self._reserve(size)
 
 
-async def _skip_trailers(stream: iostream.IOStream) -> None:
+async def _skip_trailers(caller_input: CallerInput) -> None:
     remaining = MAX_TRAILER_BYTES
     line = b''
     while line != _LINE_END:
-        line = await stream.read_until(_LINE_END, max_bytes=remaining)
+        line = await caller_input.read_line(remaining)
         remaining -= len(line)
--- a/chervilstep/adapters/native.py
+++ b/chervilstep/adapters/native.py
@@ -6,28 +6,18 @@
 from tornado import httpserver
 
 from chervilstep.adapters.admin import new_admin
-from chervilstep.adapters.backlog import BacklogServer
 from chervilstep.adapters.edge import EDGES, NATIVE, CallHandler
 from chervilstep.adapters.entry import EntryFrontEnd, new_entry_front_end
+from chervilstep.adapters.http1 import PipelineServer
+from chervilstep.adapters.servers import new_server
 from chervilstep.adapters.streams import split_address
+from chervilstep.catalog import ClientLimits
+from chervilstep.exceptions import OverloadError, RequestError
 from chervilstep.node import Node
 from chervilstep.types import Instant
 
-#: The largest body that is read and discarded before it is refused.
-DISCARD_LIMIT_BYTES: Final = 64 * 1024 * 1024
 IDLE_TIMEOUT_SECONDS: Final = 600
-BODY_TIMEOUT_SECONDS: Final = 30
-#: Heads of up to this many times the configured limit are read, so that they
-#: can be refused with a reason.
-HEADER_READ_FACTOR: Final = 4
-
-
-@final
-class EntryServer(BacklogServer, httpserver.HTTPServer):
-    """The HTTP server of the native interface."""
-
-    # The base class has a __dict__, and this class adds no attributes.
-    __slots__ = ()
+HEAD_TIMEOUT_SECONDS: Final = 30
 
 
 @final
@@ -35,7 +25,7 @@
 class NativeEdge:
     """Serves callers over the native interface."""
 
-    __slots__ = ('_admin', '_front_end', '_node', '_server')
+    __slots__ = ('_admin', '_node', '_server')
 
     def __init__(
         self, node: Node, handle: CallHandler, clock: Callable[[], Instant]
@@ -43,22 +33,13 @@
         """Creates the servers without listening yet."""
         self._node = node
         self._admin = httpserver.HTTPServer(new_admin(node, clock))
-        self._front_end: EntryFrontEnd = new_entry_front_end(
-            node, handle, clock
-        )
-        self._server = EntryServer(
-            self._front_end,
-            idle_connection_timeout=IDLE_TIMEOUT_SECONDS,
-            body_timeout=BODY_TIMEOUT_SECONDS,
-            max_header_size=HEADER_READ_FACTOR
-            * node.settings.header_limit_bytes,
-            max_body_size=DISCARD_LIMIT_BYTES,
-        )
+        front_end = new_entry_front_end(node, handle, clock)
+        self._server = new_entry_server(front_end, clock)
 
     @property
     def in_flight(self) -> int:
         """The number of requests in progress."""
-        return self._front_end.in_flight
+        return self._server.requests_in_progress
 
     def listen(self) -> None:
         """Starts to accept connections of callers and operators."""
@@ -81,4 +62,35 @@
     async def close(self) -> None:
         """Closes every connection."""
         self._admin.stop()
-        await self._server.close_all_connections()
+        self._server.stop()
+        self._server.close_all()
+
+
+def new_entry_server(
+    front_end: EntryFrontEnd, clock: Callable[[], Instant]
+) -> PipelineServer:
+    """Creates the server of the native interface, without listening yet."""
+    node = front_end.node
+
+    def read_limits() -> ClientLimits:
+        return ClientLimits(
+            node.settings.header_limit_bytes,
+            node.settings.body_limit_bytes,
+            HEAD_TIMEOUT_SECONDS,
+            IDLE_TIMEOUT_SECONDS,
+        )
+
+    def record_unread(error: RequestError) -> None:
+        if not isinstance(error, OverloadError):
+            node.counters.add('requests_malformed', status=str(error.status))
+
+    return new_server(
+        node,
+        clock,
+        front_end.serve,
+        read_limits,
+        record_unread,
+        refuse=front_end.refuse_unread,
+        is_leaving=lambda: node.members.is_leaving,
+        requires_host=False,
+    )
--- a/chervilstep/adapters/requests.py
+++ b/chervilstep/adapters/requests.py
@@ -90,6 +90,21 @@
         self._body = body
         self._reason = reason or _reason_phrase(status)
 
+    @property
+    def status(self) -> int:
+        """The HTTP status."""
+        return self._status
+
+    @property
+    def headers(self) -> Headers:
+        """The headers without those that delimit the body."""
+        return self._headers
+
+    @property
+    def body(self) -> Body:
+        """The complete body."""
+        return self._body
+
     @property
     def holding(self) -> Holding | None:
         """The bytes of the body in the budget."""
@@ -116,7 +131,7 @@
 
 
 def parse_head(
-    head: bytes,
+    head: bytes, *, requires_host: bool = True
 ) -> tuple[httputil.RequestStartLine, httputil.HTTPHeaders]:
     """Parses the request line and the headers of a request.
 
@@ -126,7 +141,10 @@
     text = head.decode('latin-1').lstrip('\r\n')
     line, _, rest = text.partition('\n')
     start, headers = _parse_lines(line.rstrip('\r'), rest)
-    if len(headers.get_list('Host')) != 1 and start.version != 'HTTP/1.0':
+    hosts = len(headers.get_list('Host'))
+    if hosts > 1 or (
+        not hosts and requires_host and start.version != 'HTTP/1.0'
+    ):
         raise RequestError(400, 'There must be one host.')
     if not start.path.startswith('/'):
         raise RequestError(400, 'The target must be a path.')
--- a/chervilstep/commands/memory.py
+++ b/chervilstep/commands/memory.py
@@ -1,7 +1,13 @@
 """Commands that take bytes from the budget."""
 
+from typing import Final
+
 from chervilstep.memory import Holding, Pool
 from chervilstep.node import Node
+from chervilstep.types import Instant, new_deadline
+
+#: Room that was missing is wanted for longer than a refused caller stays away.
+WANTED_SECONDS: Final = 2
 
 
 def take_bytes(node: Node, holding: Holding, pool: Pool, size: int) -> None:
@@ -20,3 +26,8 @@
         wanted_bytes=size,
         held_bytes=node.memory.held_bytes,
     )
+
+
+def want_memory(node: Node, now: Instant) -> None:
+    """Records that there is no room for a body, so that stalled ones end."""
+    node.memory.set_wanted(new_deadline(now, WANTED_SECONDS))
--- a/chervilstep/exceptions.py
+++ b/chervilstep/exceptions.py
@@ -81,6 +81,11 @@
         """After how many seconds another attempt makes sense."""
         return self._retry_seconds
 
+    @property
+    def retry_header(self) -> tuple[str, str]:
+        """The name and the text of the header that tells the caller."""
+        return 'Retry-After', f'{self._retry_seconds:.3f}'
+
 
 class StoreError(ChervilstepError):
     """The platform's store failed or sent an invalid answer."""
--- a/chervilstep/memory.py
+++ b/chervilstep/memory.py
@@ -6,6 +6,8 @@
 from collections.abc import Mapping
 from typing import Final, final
 
+from chervilstep.types import Deadline
+
 #: The fraction of the budget that only small bodies may use.
 SMALL_FRACTION: Final = 0.125
 
@@ -70,6 +72,7 @@
         '_by_pool',
         '_limit_bytes',
         '_peak_bytes',
+        '_wanted_until',
     )
 
     def __init__(self, limit_bytes: float) -> None:
@@ -79,6 +82,7 @@
         self._by_content: Counter[Content] = Counter()
         self._by_party: Counter[tuple[Content, str]] = Counter()
         self._peak_bytes = 0
+        self._wanted_until = Deadline(float('-inf'))
 
     @property
     def limits(self) -> Mapping[Pool, float]:
@@ -111,6 +115,15 @@
         """The most bytes that were held at a time."""
         return self._peak_bytes
 
+    @property
+    def wanted_until(self) -> Deadline:
+        """Until when stalled bodies give way to others."""
+        return self._wanted_until
+
+    def set_wanted(self, deadline: Deadline) -> None:
+        """Makes stalled bodies give way until ``deadline``."""
+        self._wanted_until = deadline
+
     def take(self, holding: Holding, pool: Pool, size: int) -> None:
         """Adds bytes to a holding."""
         holding.taken[pool] += size
--- a/chervilstep/platform/edge.py
+++ b/chervilstep/platform/edge.py
@@ -6,11 +6,10 @@
 from typing import Final, final
 from urllib.parse import parse_qs
 
-from chervilstep.adapters.buffering import RequestBuffering
 from chervilstep.adapters.edge import EDGES, CallHandler
-from chervilstep.adapters.http1 import PipelineServer
 from chervilstep.adapters.metricspage import MetricsPage, new_metrics_page
 from chervilstep.adapters.requests import Request, Response
+from chervilstep.adapters.servers import new_server
 from chervilstep.adapters.streams import split_address
 from chervilstep.calls import Answer, Call, Headers, Reply
 from chervilstep.catalog import ClientLimits
@@ -83,13 +82,13 @@
         self._addresses: PlatformAddresses = PLATFORM_ADDRESSES.get(
             node.settings.name
         )
-        buffering = RequestBuffering(node, clock)
         self._servers = [
-            PipelineServer(
+            new_server(
+                node,
+                clock,
                 handler,
                 self._client_limits,
                 self._record_malformed,
-                buffering.new_reservation,
             )
             for handler in (
                 self.serve,
--- a/tests/memory_builders.py
+++ b/tests/memory_builders.py
@@ -6,7 +6,9 @@
 import time
 
 from chervilstep.adapters.buffering import RequestBuffering, reserve_answer
+from chervilstep.adapters.http1 import PipelineServer
 from chervilstep.adapters.pool import new_pool
+from chervilstep.catalog import ClientLimits
 from chervilstep.commands.memory import take_bytes
 from chervilstep.memory import Content, new_holding
 from chervilstep.node import new_node
@@ -17,6 +19,7 @@
 
 MIB = 1024 * 1024
 MAX_BODY_BYTES = 64 * MIB
+LIMITS = ClientLimits(16384, MAX_BODY_BYTES, 3, 15)
 
 
 def a_request_buffering(node=None):
@@ -32,6 +35,23 @@
     return node
 
 
+@contextlib.asynccontextmanager
+async def a_server(node, answer):
+    """Yields the port of a server whose requests ``answer`` handles."""
+    server = PipelineServer(
+        answer,
+        lambda: LIMITS,
+        lambda error: None,
+        a_request_buffering(node).new_reservation,
+    )
+    server.listen(0, '127.0.0.1')
+    try:
+        yield next(iter(server._sockets.values())).getsockname()[1]
+    finally:
+        server.stop()
+        server.close_all()
+
+
 def a_holding(node, content=Content.REQUESTS, party='fletcher'):
     return new_holding(node.memory, content, party)
 
--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -38,7 +38,10 @@
     async def scenario():
         with contextlib.closing(FailingSocket(fault)) as listening:
             acceptor = Acceptor(
-                listening, lambda *_: None, lambda: shortages.append(fault)
+                listening,
+                lambda *_: None,
+                lambda: shortages.append(fault),
+                lambda: True,
             )
             acceptor.start()
             for _ in range(200):
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -1,17 +1,14 @@
 """Tests of the budget of bytes, and of bodies that do not end or fit."""
 
 import asyncio
-import contextlib
 import gc
 import time
 import tracemalloc
 
 import pytest
 
-from chervilstep.adapters.http1 import PipelineServer
 from chervilstep.adapters.requests import Response
 from chervilstep.calls import Ending
-from chervilstep.catalog import ClientLimits
 from chervilstep.memory import Content, Pool
 from tests.builders import KEY, an_upstream
 from tests.memory_builders import (
@@ -20,7 +17,7 @@
     MIB,
     EndlessUpstream,
     a_node_with_memory,
-    a_request_buffering,
+    a_server,
     an_answer_pool,
     hold,
     longest_turn,
@@ -29,7 +26,6 @@
 
 #: As on the platform, with 300 MB for a process.
 LIMIT_BYTES = 165 * 10**6
-LIMITS = ClientLimits(16384, MAX_BODY_BYTES, 3, 15)
 SMALL = 1000
 #: A turn in which other callers wait unnoticed.
 MAX_TURN_SECONDS = 0.05
@@ -81,23 +77,6 @@
     assert node.memory.by_pool[Pool.LARGE] == 2 * MAX_BODY_BYTES
 
 
-@contextlib.asynccontextmanager
-async def a_server(node, answer):
-    """Yields the port of a server whose requests ``answer`` handles."""
-    server = PipelineServer(
-        answer,
-        lambda: LIMITS,
-        lambda error: None,
-        a_request_buffering(node).new_reservation,
-    )
-    server.listen(0, '127.0.0.1')
-    try:
-        yield next(iter(server._sockets.values())).getsockname()[1]
-    finally:
-        server.stop()
-        server.close_all()
-
-
 class LengthHandler:
     """Answers each body with its length, after some time."""
 
--- a/tests/wire_builders.py
+++ b/tests/wire_builders.py
@@ -9,7 +9,7 @@
 
 from chervilstep.adapters.dialect import NATIVE
 from chervilstep.adapters.entry import new_entry_front_end
-from chervilstep.adapters.native import EntryServer
+from chervilstep.adapters.native import new_entry_server
 from chervilstep.adapters.peers import new_peer_streams
 from chervilstep.adapters.pool import new_pool
 from chervilstep.calls import Attempt, Call
@@ -234,7 +234,7 @@
     front_end = new_entry_front_end(
         node or builders.a_node(), handle, time.monotonic
     )
-    server = EntryServer(front_end, max_body_size=10**8)
+    server = new_entry_server(front_end, time.monotonic)
     (listening,) = netutil.bind_sockets(0, '127.0.0.1')
     server.add_socket(listening)
     try:
