Let a customer's only body use the part of several

Callers saw 503 for a single body of 64 MiB, which the configuration allows, from an instance with 200 MB that did nothing else.

Cause: one customer, or service, may use half of the large pool, also for one body: 48 MB at 200 MB.

Change: the half bounds a second body. The only one may use what its content may; whether it can ever fit is decided by the same bound.

--- a/chervilstep/adapters/buffering.py
+++ b/chervilstep/adapters/buffering.py
@@ -61,7 +61,7 @@
             read.
         """
         give_up_at = new_deadline(self._clock(), MAX_WAIT_SECONDS)
-        may_wait = can_ever_hold(self._node, size)
+        may_wait = can_ever_hold(self._node, self._holding.content, size)
         while not self.try_extend(size):
             want_memory(self._node, self._clock())
             if not may_wait or give_up_at.has_passed(self._clock()):
--- a/chervilstep/queries/memory.py
+++ b/chervilstep/queries/memory.py
@@ -12,7 +12,8 @@
 #: Holdings up to this size use the pool that large ones leave alone, so that small
 #: requests are served while large ones wait for room.
 SMALL_BYTES: Final = 64 * 1024
-#: The fraction of the large pool that one customer or service may use.
+#: The fraction of the large pool that one customer or service may use for more
+#: than one body.
 PARTY_FRACTION: Final = 0.5
 #: The fraction that each content may use: requests leave room for the answers that
 #: they are sent for, and answers without end leave room for requests.
@@ -30,15 +31,16 @@
     if content + size > CONTENT_FRACTIONS[holding.content] * limit:
         return None
     party = budget.by_party.get((holding.content, holding.party), 0)
-    if party + size > PARTY_FRACTION * limit:
+    is_only_one = party == holding.taken[Pool.LARGE]
+    if not is_only_one and party + size > PARTY_FRACTION * limit:
         return None
     return Pool.LARGE if _has_room(node, Pool.LARGE, size) else None
 
 
-def can_ever_hold(node: Node, size: int) -> bool:
+def can_ever_hold(node: Node, content: Content, size: int) -> bool:
     """Whether there is room for so many bytes while nothing else is held."""
-    limit = node.memory.limits[Pool.LARGE]
-    return size <= SMALL_BYTES or size <= PARTY_FRACTION * limit
+    limit = CONTENT_FRACTIONS[content] * node.memory.limits[Pool.LARGE]
+    return size <= SMALL_BYTES or size <= limit
 
 
 @GAUGES.register('held_bytes')
