Divide memory and sockets among all connections

Callers saw refused or unanswered connections while others sent nothing, half a head or one request; processes exceeded their memory beside bodies, heads, chunk lines and trailers that stopped short.

Cause: the budget counted bodies only. Heads, buffers of streams, the kernel's receive buffers and the connections themselves had bounds one by one, or none; nothing read maxFds.

Change: shares.py divides the memory above what the program needs, and the sockets; queries/partition.py gives each address its part. At the limit of an address a connection gives way: refused callers first, then those without a complete request in time, idle ones, new ones, and stalled bodies. If all have requests in progress, new callers wait in the backlog. Buffered input beyond its part closes unfinished heads. With many connections the receive buffers share theirs. Long heads count while their requests are held. The locator, readiness, metrics, admin and peer addresses have limits too. New settings memory_mb and max_sockets; counter and line connections_evicted, one line a second at most.

--- a/chervilstep/adapters/admin.py
+++ b/chervilstep/adapters/admin.py
@@ -1,18 +1,85 @@
 """The HTTP admin endpoint: health, status, metrics, explain."""
 
+import asyncio
 import json
 from collections.abc import Callable
-from typing import final
+from typing import Any, Final, final
 
-from tornado import web
+from tornado import httpserver, iostream, web
 
+from chervilstep.adapters.admission import Admission
+from chervilstep.adapters.backlog import BacklogServer
 from chervilstep.adapters.metrics import CONTENT_TYPE, Metrics, new_metrics
+from chervilstep.callers import ConnectionTable
 from chervilstep.hooks import STATUS_ENTRIES
 from chervilstep.node import Node
+from chervilstep.queries.callers import connection_to_evict
 from chervilstep.queries.explaining import explain
 from chervilstep.queries.load import accepts_callers
 from chervilstep.types import Instant
 
+#: Operators send heads without bodies.
+MAX_HEAD_BYTES: Final = 16 * 1024
+MAX_BODY_BYTES: Final = 64 * 1024
+READ_BYTES: Final = 16 * 1024
+IDLE_TIMEOUT_SECONDS: Final = 60
+BODY_TIMEOUT_SECONDS: Final = 5
+
+
+@final
+class AdminServer(BacklogServer, httpserver.HTTPServer):
+    """Serves an application to a bounded number of connections."""
+
+    # The base class has a __dict__; the slots declare the attributes.
+    __slots__ = ('_admission', '_streams')
+
+    def __init__(
+        self, application: web.Application, admission: Admission
+    ) -> None:
+        """Creates a server, without listening yet."""
+        super().__init__(
+            application,
+            max_header_size=MAX_HEAD_BYTES,
+            max_body_size=MAX_BODY_BYTES,
+            chunk_size=READ_BYTES,
+            idle_connection_timeout=IDLE_TIMEOUT_SECONDS,
+            body_timeout=BODY_TIMEOUT_SECONDS,
+        )
+        self._admission = admission
+        self._streams: ConnectionTable[iostream.IOStream] = ConnectionTable()
+
+    def has_room(self) -> bool:
+        """Closes the oldest connections at the limit; there is room then."""
+        while len(self._streams) >= self._admission.limits.connections:
+            self._make_room('connections')
+        return True
+
+    def handle_shortage(self) -> None:
+        """Frees the descriptor of a connection."""
+        self._make_room('descriptors')
+
+    def handle_stream(
+        self, stream: iostream.IOStream, address: tuple[Any, ...]
+    ) -> None:
+        """Serves a connection."""
+        self._streams.add(stream, asyncio.get_running_loop().time())
+        stream.set_close_callback(lambda: self._streams.remove(stream))
+        super().handle_stream(stream, address)
+
+    def close_all(self) -> None:
+        """Closes every connection."""
+        for stream in self._streams.connections:
+            stream.close()
+
+    def _make_room(self, reason: str) -> None:
+        now = asyncio.get_running_loop().time()
+        stream = connection_to_evict(self._streams, now)
+        if stream is not None:
+            phase = self._streams.phase_of(stream)
+            self._admission.report_closed(reason, phase)
+            self._streams.remove(stream)
+            stream.close()
+
 
 @final
 class StatusHandler(web.RequestHandler):
--- a/chervilstep/adapters/admission.py
+++ b/chervilstep/adapters/admission.py
@@ -4,11 +4,18 @@
 from collections.abc import Callable
 from typing import Final, final
 
+from chervilstep.adapters.descriptors import available_sockets
 from chervilstep.callers import (
     ClosedConnection,
     ConnectionLimits,
+    EvictionLog,
     Phase,
 )
+from chervilstep.commands.callers import record_closed_connection
+from chervilstep.node import Node
+from chervilstep.queries.partition import Address, connection_limits
+from chervilstep.settings import Settings
+from chervilstep.types import Instant
 
 #: For servers without limits of their own.
 UNLIMITED: Final = ConnectionLimits(2**31, float('inf'), float('inf'))
@@ -39,6 +46,42 @@
         self._on_closed(ClosedConnection(reason, phase))
 
 
+@final
+class AddressLimits:
+    """The limits of an address, computed once for each set of settings."""
+
+    __slots__ = ('_address', '_limits', '_node', '_settings')
+
+    def __init__(self, node: Node, address: Address) -> None:
+        """Creates the limits of an address of a node."""
+        self._node = node
+        self._address = address
+        self._settings: Settings | None = None
+        self._limits = UNLIMITED
+
+    def read(self) -> ConnectionLimits:
+        """Returns the limits by the current settings."""
+        settings = self._node.settings
+        if settings is not self._settings:
+            self._settings = settings
+            sockets = available_sockets(settings.shares.sockets)
+            self._limits = connection_limits(settings, self._address, sockets)
+        return self._limits
+
+
+def new_admission(
+    node: Node, address: Address, clock: Callable[[], Instant]
+) -> Admission:
+    """Creates the limits of an address from the settings of a node."""
+    log = EvictionLog()
+    return Admission(
+        AddressLimits(node, address).read,
+        lambda closed: record_closed_connection(
+            node, address.value, log, closed, clock()
+        ),
+    )
+
+
 def new_unlimited_admission() -> Admission:
     """Creates the absence of limits."""
     return Admission(lambda: UNLIMITED, lambda closed: None)
--- a/chervilstep/adapters/native.py
+++ b/chervilstep/adapters/native.py
@@ -3,9 +3,8 @@
 from collections.abc import Callable
 from typing import Final, final
 
-from tornado import httpserver
-
-from chervilstep.adapters.admin import new_admin
+from chervilstep.adapters.admin import AdminServer, new_admin
+from chervilstep.adapters.admission import new_admission
 from chervilstep.adapters.edge import EDGES, NATIVE, CallHandler
 from chervilstep.adapters.entry import EntryFrontEnd, new_entry_front_end
 from chervilstep.adapters.http1 import PipelineServer
@@ -14,6 +13,7 @@
 from chervilstep.catalog import ClientLimits
 from chervilstep.exceptions import OverloadError, RequestError
 from chervilstep.node import Node
+from chervilstep.queries.partition import Address
 from chervilstep.types import Instant
 
 IDLE_TIMEOUT_SECONDS: Final = 600
@@ -32,7 +32,10 @@
     ) -> None:
         """Creates the servers without listening yet."""
         self._node = node
-        self._admin = httpserver.HTTPServer(new_admin(node, clock))
+        self._admin = AdminServer(
+            new_admin(node, clock),
+            new_admission(node, Address.METRICS, clock),
+        )
         front_end = new_entry_front_end(node, handle, clock)
         self._server = new_entry_server(front_end, clock)
 
@@ -62,6 +65,7 @@
     async def close(self) -> None:
         """Closes every connection."""
         self._admin.stop()
+        self._admin.close_all()
         self._server.stop()
         self._server.close_all()
 
@@ -86,6 +90,7 @@
 
     return new_server(
         node,
+        Address.CALLERS,
         clock,
         front_end.serve,
         read_limits,
--- a/chervilstep/adapters/peers.py
+++ b/chervilstep/adapters/peers.py
@@ -6,14 +6,17 @@
 from typing import Final, final
 
 import structlog
-from tornado import iostream, tcpserver
+from tornado import iostream
 
 from chervilstep.adapters import codec, handshake
+from chervilstep.adapters.admission import new_admission
+from chervilstep.adapters.backlog import BacklogServer
 from chervilstep.adapters.streams import (
     connect,
     enable_keep_alive,
     ignore_exception,
 )
+from chervilstep.callers import ConnectionTable
 from chervilstep.commands import gossip as gossip_commands
 from chervilstep.commands.membership import (
     HEARTBEAT_TIMEOUT_SECONDS,
@@ -24,8 +27,10 @@
 from chervilstep.hooks import HANDLERS
 from chervilstep.messages import EVERY_PEER, Envelope
 from chervilstep.node import Node
+from chervilstep.queries.callers import connection_to_evict
 from chervilstep.queries.gossip import extra_dial_targets, find_peer_address
 from chervilstep.queries.overlay import neighbours, should_dial
+from chervilstep.queries.partition import Address
 from chervilstep.types import Instant
 
 #: The timeout for connecting and the handshake together.
@@ -40,7 +45,7 @@
 
 
 @final
-class PeerStreams(tcpserver.TCPServer):
+class PeerStreams(BacklogServer):
     """Keeps one authenticated stream to each neighbour.
 
     Of two instances, the one with the smaller name dials. A stream is closed
@@ -50,8 +55,10 @@
 
     # The base class has a __dict__; the slots declare the attributes.
     __slots__ = (
+        '_admission',
         '_clock',
         '_dial_tasks',
+        '_handshakes',
         '_node',
         '_is_flush_scheduled',
         '_streams',
@@ -65,6 +72,8 @@
         self._streams: dict[str, iostream.IOStream] = {}
         self._dial_tasks: dict[str, asyncio.Task[None]] = {}
         self._is_flush_scheduled = False
+        self._admission = new_admission(node, Address.PEERS, clock)
+        self._handshakes: ConnectionTable[iostream.IOStream] = ConnectionTable()
         node.outbox.subscribe(self.schedule_flush)
 
     @property
@@ -111,18 +120,42 @@
     ) -> None:
         """Authenticates a peer that connected and handles its messages."""
         stream.set_nodelay(True)
-        settings = self._node.settings
-        try:
-            async with asyncio.timeout(HANDSHAKE_TIMEOUT_SECONDS):
-                name = await handshake.accept(
-                    stream, settings.peer_secret, settings.name
-                )
-        except (PeerError, TimeoutError, iostream.StreamClosedError):
+        name = await self._accept_handshake(stream)
+        if name is None:
             self._node.counters.add('peer_handshakes_refused')
             stream.close()
             return
         await self._run_stream(name, stream, name)
 
+    def handle_shortage(self) -> None:
+        """Frees the descriptor of a connection that is no peer's yet."""
+        self._end_oldest_handshake('descriptors')
+
+    async def _accept_handshake(self, stream: iostream.IOStream) -> str | None:
+        """Returns the name of the peer, or None if there is no valid one."""
+        limit = self._admission.limits.connections
+        while len(self._handshakes) >= limit:
+            self._end_oldest_handshake('connections')
+        settings = self._node.settings
+        with contextlib.ExitStack() as stack:
+            self._handshakes.add(stream, self._clock())
+            stack.callback(self._handshakes.remove, stream)
+            try:
+                async with asyncio.timeout(HANDSHAKE_TIMEOUT_SECONDS):
+                    return await handshake.accept(
+                        stream, settings.peer_secret, settings.name
+                    )
+            except (PeerError, TimeoutError, iostream.StreamClosedError):
+                return None
+
+    def _end_oldest_handshake(self, reason: str) -> None:
+        stream = connection_to_evict(self._handshakes, self._clock())
+        if stream is not None:
+            phase = self._handshakes.phase_of(stream)
+            self._admission.report_closed(reason, phase)
+            self._handshakes.remove(stream)
+            stream.close()
+
     def _reconcile_dials(self) -> None:
         # The member lists of these peers may lack this instance, and then they
         # do not dial it.
--- a/chervilstep/adapters/servers.py
+++ b/chervilstep/adapters/servers.py
@@ -1,7 +1,8 @@
-"""Creates the servers of an instance."""
+"""Creates the servers of an instance, with the limits of their addresses."""
 
 from collections.abc import Callable
 
+from chervilstep.adapters.admission import new_admission
 from chervilstep.adapters.buffering import RequestBuffering
 from chervilstep.adapters.exchanges import (
     Handler,
@@ -13,11 +14,13 @@
 from chervilstep.adapters.http1 import PipelineServer
 from chervilstep.exceptions import RequestError
 from chervilstep.node import Node
+from chervilstep.queries.partition import Address
 from chervilstep.types import Instant
 
 
 def new_server(
     node: Node,
+    address: Address,
     clock: Callable[[], Instant],
     handler: Handler,
     limits: Callable[[], RequestLimits],
@@ -34,6 +37,7 @@
         on_refusal,
         RequestBuffering(node, clock).new_reservation,
         ServerOptions(
+            new_admission(node, address, clock),
             refuse=refuse,
             is_leaving=is_leaving,
             requires_host=requires_host,
--- a/chervilstep/node.py
+++ b/chervilstep/node.py
@@ -66,7 +66,7 @@
         self._rng = rng
         self._configuration = Configuration()
         self._members = Members(settings.name)
-        self._memory = ByteBudget(settings.memory_limit_bytes)
+        self._memory = ByteBudget(settings.shares.body_bytes)
         self._loads = LoadTable()
         self._slow_start = SlowStartTable()
         self._probe_schedule = ProbeSchedule()
--- a/chervilstep/platform/boot.py
+++ b/chervilstep/platform/boot.py
@@ -12,13 +12,18 @@
 from chervilstep.platform.dialect import PLATFORM_DIALECT
 from chervilstep.platform.edge import PLATFORM_EDGE
 from chervilstep.settings import (
-    DEFAULT_MEMORY_BYTES,
     Limits,
     LocatorOptions,
     Profile,
     Settings,
     ShutdownTimeouts,
 )
+from chervilstep.shares import (
+    DEFAULT_PROCESS_BYTES,
+    DEFAULT_SOCKETS,
+    Shares,
+    new_shares,
+)
 
 #: The environment variable that holds the path of the file.
 BOOT_FILE_VARIABLE: Final = 'CHERVILSTEP_BOOT'
@@ -27,10 +32,9 @@
 #: The largest answer that is accepted from a server.
 MAX_ANSWER_BYTES: Final = 64 * 1024 * 1024
 MAX_HEAD_BYTES: Final = 64 * 1024
-#: The fraction of a process's memory for the bodies that it holds. The rest is for
-#: the program itself, which needs 35 to 75 MB, and for the kernel's buffers.
-BODIES_FRACTION: Final = 0.55
 BYTES_PER_MB: Final = 10**6
+#: The platform reserves these of the descriptors of a process for files.
+FILE_DESCRIPTORS: Final = 200
 #: Most clients stop using a stopped instance within this time, the others
 #: within three times as long.
 LOCATOR_TTL_SECONDS: Final = 2
@@ -95,9 +99,7 @@
         # Empty, since only machines of the platform can reach peers.
         peer_secret='',
         profile=Profile(
-            limits=Limits(
-                MAX_ANSWER_BYTES, MAX_HEAD_BYTES, _memory_bytes(table)
-            ),
+            limits=Limits(MAX_ANSWER_BYTES, MAX_HEAD_BYTES, _shares(table)),
             allowances=_decode_allowances(bounds),
             dialect=PLATFORM_DIALECT,
             edge=PLATFORM_EDGE,
@@ -110,11 +112,14 @@
     )
 
 
-def _memory_bytes(table: Table) -> float:
-    memory_mb = table.get('limits', {}).get('memoryMb')
-    if not memory_mb:
-        return DEFAULT_MEMORY_BYTES
-    return float(BODIES_FRACTION * memory_mb * BYTES_PER_MB)
+def _shares(table: Table) -> Shares:
+    limits = table.get('limits', {})
+    process_bytes = limits.get('memoryMb', 0) * BYTES_PER_MB
+    sockets = limits.get('maxFds', 0) - FILE_DESCRIPTORS
+    return new_shares(
+        process_bytes or DEFAULT_PROCESS_BYTES,
+        sockets if sockets > 0 else DEFAULT_SOCKETS,
+    )
 
 
 def _shutdown_timeouts(grace_seconds: float) -> ShutdownTimeouts:
--- a/chervilstep/platform/edge.py
+++ b/chervilstep/platform/edge.py
@@ -20,6 +20,7 @@
 from chervilstep.queries import headers as header_rules
 from chervilstep.queries.load import accepts_callers
 from chervilstep.queries.locator import entry_addresses
+from chervilstep.queries.partition import Address
 from chervilstep.queries.refusal_details import refusal_details
 from chervilstep.queries.retry_after import retry_after_seconds
 from chervilstep.refusals import INTERNAL_ERROR, Refusal
@@ -85,16 +86,17 @@
         self._servers = [
             new_server(
                 node,
+                address,
                 clock,
                 handler,
                 self._client_limits,
                 self._record_malformed,
             )
-            for handler in (
-                self.serve,
-                self.resolve,
-                self.serve_readiness,
-                self.serve_metrics,
+            for address, handler in (
+                (Address.CALLERS, self.serve),
+                (Address.LOCATOR, self.resolve),
+                (Address.READINESS, self.serve_readiness),
+                (Address.METRICS, self.serve_metrics),
             )
         ]
         self._metrics_page: MetricsPage | None = None
--- a/chervilstep/queries/settings.py
+++ b/chervilstep/queries/settings.py
@@ -11,6 +11,12 @@
     Profile,
     Settings,
 )
+from chervilstep.shares import (
+    DEFAULT_PROCESS_BYTES,
+    DEFAULT_SOCKETS,
+    Shares,
+    new_shares,
+)
 
 #: The names that a settings file may contain.
 SETTING_NAMES: Final = (
@@ -23,11 +29,18 @@
     'peer_secret',
     'body_limit_bytes',
     'header_limit_bytes',
+    'memory_mb',
+    'max_sockets',
     'seeds',
 )
 MIN_LIMIT_BYTES: Final = 1024
 MAX_BODY_LIMIT_BYTES: Final = 64 * 1024 * 1024
 MAX_HEADER_LIMIT_BYTES: Final = 256 * 1024
+MIN_MEMORY_MB: Final = 80
+MAX_MEMORY_MB: Final = 64 * 1024
+MIN_SOCKETS: Final = 64
+MAX_SOCKETS: Final = 2**20
+BYTES_PER_MB: Final = 10**6
 
 
 def parse_settings(text: str) -> Settings:
@@ -75,7 +88,21 @@
             MAX_HEADER_LIMIT_BYTES,
             DEFAULT_HEADER_LIMIT_BYTES,
         ),
+        _read_shares(table),
+    )
+
+
+def _read_shares(table: Table) -> Shares:
+    memory_mb = table.integer(
+        'memory_mb',
+        MIN_MEMORY_MB,
+        MAX_MEMORY_MB,
+        DEFAULT_PROCESS_BYTES // BYTES_PER_MB,
+    )
+    sockets = table.integer(
+        'max_sockets', MIN_SOCKETS, MAX_SOCKETS, DEFAULT_SOCKETS
     )
+    return new_shares(memory_mb * BYTES_PER_MB, sockets)
 
 
 def _read_seeds(table: Table) -> dict[str, str]:
--- a/chervilstep/settings.py
+++ b/chervilstep/settings.py
@@ -4,11 +4,10 @@
 from typing import Final, final
 
 from chervilstep.allowances import Allowances
+from chervilstep.shares import Shares, new_shares
 
 DEFAULT_BODY_LIMIT_BYTES: Final = 1024 * 1024
 DEFAULT_HEADER_LIMIT_BYTES: Final = 16 * 1024
-#: For all bodies that an instance holds at a time.
-DEFAULT_MEMORY_BYTES: Final = 160 * 1024 * 1024
 
 #: Longer than the TTL of an answer of the locator, so that callers use other
 #: instances by the end of the phase.
@@ -23,18 +22,18 @@
 class Limits:
     """The size limits of messages that an instance reads."""
 
-    __slots__ = ('_body_bytes', '_header_bytes', '_memory_bytes')
+    __slots__ = ('_body_bytes', '_header_bytes', '_shares')
 
     def __init__(
         self,
         body_bytes: int = DEFAULT_BODY_LIMIT_BYTES,
         header_bytes: int = DEFAULT_HEADER_LIMIT_BYTES,
-        memory_bytes: float = DEFAULT_MEMORY_BYTES,
+        shares: Shares | None = None,
     ) -> None:
-        """Creates limits of bodies and heads, and of all bodies."""
+        """Creates limits of bodies and heads, and of all together."""
         self._body_bytes = body_bytes
         self._header_bytes = header_bytes
-        self._memory_bytes = memory_bytes
+        self._shares = shares or new_shares()
 
     @property
     def body_bytes(self) -> int:
@@ -47,9 +46,9 @@
         return self._header_bytes
 
     @property
-    def memory_bytes(self) -> float:
-        """The maximum size of all bodies that are held at a time."""
-        return self._memory_bytes
+    def shares(self) -> Shares:
+        """What all messages and connections together may use."""
+        return self._shares
 
 
 @final
@@ -290,9 +289,9 @@
         return self._profile.limits.header_bytes
 
     @property
-    def memory_limit_bytes(self) -> float:
-        """The maximum size of all bodies that are held at a time."""
-        return self._profile.limits.memory_bytes
+    def shares(self) -> Shares:
+        """What all messages and connections together may use."""
+        return self._profile.limits.shares
 
     @property
     def seeds(self) -> Mapping[str, str]:
--- a/tests/memory_builders.py
+++ b/tests/memory_builders.py
@@ -14,6 +14,7 @@
 from chervilstep.node import new_node
 from chervilstep.queries.memory import pool_for
 from chervilstep.settings import Limits, Profile
+from chervilstep.shares import Shares
 from tests.builders import a_node, a_settings, a_snapshot
 from tests.wire_builders import close_writer
 
@@ -28,7 +29,9 @@
 
 def a_node_with_memory(limit_bytes):
     """Returns a node whose bodies may have ``limit_bytes`` in all."""
-    limits = Limits(MAX_BODY_BYTES, memory_bytes=limit_bytes)
+    limits = Limits(
+        MAX_BODY_BYTES, shares=Shares(limit_bytes, 10**7, 10**7, 1000)
+    )
     settings = a_settings(profile=Profile(limits=limits))
     node = new_node(settings, 1)
     node.configuration.publish(a_snapshot())
