Do not close connections whose answers are being written

Found by reading the change: a caller that still read a long answer could lose the rest. Its connection counted as idle, or as closing, once the answer was handed to the stream, and so it was the first to give way to a new caller; the planned stop closed it as idle, also before this work.

Change: a connection waits for its reply until the stream has written it.

--- a/chervilstep/adapters/connection.py
+++ b/chervilstep/adapters/connection.py
@@ -65,15 +65,18 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is handled, being read or waits to be read."""
-        if self._exchanges or self._reader.is_receiving:
+        """Whether no request is handled, being read or waits to be read.
+
+        The caller has taken all responses as well.
+        """
+        if self._is_replying or self._reader.is_receiving:
             return False
         return not self._input.has_pending
 
     @property
     def phase(self) -> Phase:
         """What the connection waits for."""
-        if self._exchanges:
+        if self._is_replying:
             return Phase.REPLY
         if self._is_closing:
             return Phase.CLOSING
@@ -83,6 +86,10 @@
             return Phase.HEAD
         return Phase.IDLE
 
+    @property
+    def _is_replying(self) -> bool:
+        return bool(self._exchanges) or self._stream.writing()
+
     async def run(self) -> None:
         """Reads requests until the connection is closed."""
         try:
@@ -207,10 +214,14 @@
             return
         # The bytes of the body are held until the caller has taken them.
         written.add_done_callback(partial(drop_written, response))
+        written.add_done_callback(self._handle_written)
         if closes:
             self._sent_last_response = True
             written.add_done_callback(self._half_close)
 
+    def _handle_written(self, written: 'asyncio.Future[None]') -> None:
+        self.update_phase()
+
     def _half_close(self, written: 'asyncio.Future[None]') -> None:
         """Shuts down the write side and closes the stream after a delay.
 
--- a/tests/caller_builders.py
+++ b/tests/caller_builders.py
@@ -16,6 +16,8 @@
 from chervilstep.catalog import ClientLimits
 from tests.memory_builders import a_request_buffering
 
+#: More than the buffers of a connection hold.
+LONG_ANSWER_BYTES = 64 * 1024 * 1024
 LIMITS = ClientLimits(16384, 4096, 3, 15)
 
 
@@ -58,6 +60,8 @@
     async def answer(self, request):
         if request.target == '/slow':
             await self.gate.wait()
+        if request.target == '/long':
+            return Response(200, (), b'x' * LONG_ANSWER_BYTES)
         return Response(200, (), b'ok')
 
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -19,10 +19,16 @@
 from chervilstep.settings import Limits, Profile
 from chervilstep.shares import new_shares
 from tests.builders import a_node, a_settings
-from tests.caller_builders import a_bounded_server, a_table, some_limits
+from tests.caller_builders import (
+    LONG_ANSWER_BYTES,
+    a_bounded_server,
+    a_table,
+    some_limits,
+)
 from tests.wire_builders import a_raw_client
 
 GET = b'GET / HTTP/1.1\r\nHost: a\r\n\r\n'
+LONG = b'GET /long HTTP/1.1\r\nHost: a\r\n\r\n'
 SLOW = b'GET /slow HTTP/1.1\r\nHost: a\r\n\r\n'
 STALLED = b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n'
 
@@ -144,6 +150,25 @@
     assert reasons[-1] == ('connections', 'idle')
 
 
+def test_answer_that_is_being_written_is_not_cut_for_new_callers():
+    async def scenario():
+        async with (
+            a_bounded_server(connections=1) as bounded,
+            a_raw_client(bounded.port) as (reader, writer),
+        ):
+            writer.write(LONG)
+            await reader.readuntil(b'\r\n\r\n')
+            async with a_raw_client(bounded.port) as (late, late_writer):
+                late_writer.write(GET)
+                await asyncio.sleep(0.2)
+                bounded.server.close_idle()
+                await reader.readexactly(LONG_ANSWER_BYTES)
+                await late.readuntil(b'ok')
+            return bounded.reasons
+
+    assert asyncio.run(scenario())[0] == ('full', 'new')
+
+
 def test_stalled_body_gives_way_to_a_new_caller():
     async def scenario():
         async with (
