Count chunks that exceed the buffer among those of a turn

Found by reading the change: a chunk of which only a part was buffered did not count, so a body of such chunks read all that the kernel held in one turn.

Change: it counts as one of the chunks after which a body takes turns.

Measured: test_chunks_that_exceed_the_buffer_take_turns saw 4,080,000 bytes read in one turn before, with chunks of 20,000 bytes, and at most 40,000 now.

--- a/chervilstep/adapters/framing.py
+++ b/chervilstep/adapters/framing.py
@@ -251,7 +251,8 @@
         scan = ChunkScan()
         scan.scan(self._input.buffered, max_chunks)
         await self._take_pieces(scan)
-        self._free_chunks = max(0, self._free_chunks - len(scan.pieces))
+        chunks = len(scan.pieces) + bool(scan.next_size)
+        self._free_chunks = max(0, self._free_chunks - chunks)
         if scan.next_size:
             await self._read_chunk(scan.next_size)
         elif len(scan.pieces) < max_chunks and not scan.ends_body:
--- a/tests/memory_builders.py
+++ b/tests/memory_builders.py
@@ -133,3 +133,16 @@
         await asyncio.sleep(0)
         longest = max(longest, time.monotonic() - begun_at)
     return longest
+
+
+async def largest_growth(budget, from_bytes, to_bytes):
+    """Returns by how much a turn of the loop added to a budget, at most."""
+    largest = 0
+    held = budget.held_bytes
+    async with asyncio.timeout(60):
+        while held < to_bytes:
+            await asyncio.sleep(0)
+            growth, held = budget.held_bytes - held, budget.held_bytes
+            if held > from_bytes:
+                largest = max(largest, growth)
+    return largest
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -4,7 +4,11 @@
 import contextlib
 
 from chervilstep.adapters.turnstile import Turnstile
-from tests.memory_builders import a_node_with_memory, a_server
+from tests.memory_builders import (
+    a_node_with_memory,
+    a_server,
+    largest_growth,
+)
 from tests.wire_builders import a_raw_client
 
 BODIES = 100
@@ -23,16 +27,6 @@
     async def answer(request):
         raise AssertionError('No body is complete.')
 
-    async def largest_growth():
-        largest = 0
-        held = node.memory.held_bytes
-        while held < BODIES * CHUNKS:
-            await asyncio.sleep(0)
-            growth, held = node.memory.held_bytes - held, node.memory.held_bytes
-            if held > WARM_UP_BYTES:
-                largest = max(largest, growth)
-        return largest
-
     async def scenario():
         async with contextlib.AsyncExitStack() as stack:
             port = await stack.enter_async_context(a_server(node, answer))
@@ -42,12 +36,35 @@
             ]
             for _, writer in clients:
                 writer.write(HEAD + b'1\r\nx\r\n' * CHUNKS)
-            async with asyncio.timeout(60):
-                return await largest_growth()
+            return await largest_growth(
+                node.memory, WARM_UP_BYTES, BODIES * CHUNKS
+            )
 
     assert asyncio.run(scenario()) <= MAX_CHUNKS_PER_TURN
 
 
+def test_chunks_that_exceed_the_buffer_take_turns():
+    """Guards against chunks that were read without a wait in between."""
+    node = a_node_with_memory(165 * 10**6)
+    size = 20_000
+    count = 400
+    chunk = b'%x\r\n' % size + b'x' * size + b'\r\n'
+
+    async def answer(request):
+        raise AssertionError('The body is not complete.')
+
+    async def scenario():
+        async with (
+            a_server(node, answer) as port,
+            a_raw_client(port) as (_, writer),
+        ):
+            writer.write(HEAD + chunk * count)
+            # Whatever was received by then could be read in one turn.
+            return await largest_growth(node.memory, 64 * size, count * size)
+
+    assert asyncio.run(scenario()) <= 2 * size
+
+
 def test_turnstile_lets_one_task_go_on_in_a_turn():
     passed = []
 
