Let stalled bodies give way only to bodies that can fit

Found by reading the change: a body that can never fit, and is refused at once, ended stalled bodies for nothing.

Measured: test_body_that_can_never_fit_is_refused_at_once now also checks this.

--- a/chervilstep/adapters/buffering.py
+++ b/chervilstep/adapters/buffering.py
@@ -63,10 +63,10 @@
         give_up_at = new_deadline(self._clock(), MAX_WAIT_SECONDS)
         may_wait = can_ever_hold(self._node, self._holding.content, size)
         while not self.try_extend(size):
-            want_memory(self._node, self._clock())
             if not may_wait or give_up_at.has_passed(self._clock()):
                 record_full_memory(self._node, self._holding, size)
                 return False
+            want_memory(self._node, self._clock())
             await asyncio.sleep(POLL_SECONDS)
         return True
 
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -147,6 +147,8 @@
             return head, time.monotonic() - begun_at
 
     head, seconds = asyncio.run(scenario())
+    # Stalled bodies do not give way to it.
+    assert node.memory.wanted_until.has_passed(0)
     assert b' 503 ' in head
     assert seconds < 0.2
 
