Do not run requests whose connection was closed as idle

Cause: between the end of a read and the turn in which its bytes are taken, the connection counted as idle. After the close the request was still handled; if it was the last one of its caller, nothing read the stream again, and so nothing cancelled it. The last part is new since the bodies of callers share turns.

Change: a connection with bytes that were read is not idle, and a request that is read after its connection has closed is not handled.

--- a/chervilstep/adapters/callerinput.py
+++ b/chervilstep/adapters/callerinput.py
@@ -68,6 +68,11 @@
             self._stream.socket
         )
 
+    @property
+    def has_received(self) -> bool:
+        """Whether a read has ended whose bytes were not taken yet."""
+        return self._pending is not None and self._pending.done()
+
     def interrupt(self, error: Exception) -> None:
         """Raises ``error`` in a read that waits for the caller."""
         if self._waiter is not None and not self._waiter.done():
--- a/chervilstep/adapters/connection.py
+++ b/chervilstep/adapters/connection.py
@@ -71,7 +71,7 @@
         """
         if self._is_replying or self._reader.is_receiving:
             return False
-        return not self._input.has_pending
+        return not self._input.has_pending and not self._input.has_received
 
     @property
     def phase(self) -> Phase:
@@ -141,6 +141,9 @@
             await self._can_read.wait()
             self._start_idle_timer()
             request = await self._reader.read()
+            if self._stream.closed():
+                # Nobody would get the answer; the request has not run.
+                break
             if self._reader.ends_connection:
                 self._is_closing = True
             if self._sent_last_response:
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -405,3 +405,25 @@
 
     answers = asyncio.run(run())
     assert all(answer.endswith(b'/0') for answer in answers)
+
+
+@pytest.mark.parametrize('ending', [b'', b'Connection: close\r\n'])
+@pytest.mark.parametrize('turns', range(12))
+def test_request_that_crosses_the_close_of_idle_connections(turns, ending):
+    """Guards against a request that ran although its connection was closed."""
+    handler = GatedHandler()
+
+    async def run():
+        async with a_server(handler) as (server, port):
+            client = a_blocking_client(port)
+            while not server.open_connections:
+                await asyncio.sleep(0)
+            await asyncio.sleep(0.01)
+            client.sendall((GET % 1)[:-2] + ending + b'\r\n')
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            server.close_idle()
+            return await receive_all(client)
+
+    received = asyncio.run(run())
+    assert bool(received) == bool(handler.requests)
