Log items that are dropped as outdated, and the age of an instance's view

Neither was visible: an item that an instance drops since it knows a higher revision left no line, and a refusal named the version of the configuration, but not whether the store had answered lately. The line items_outdated (one in 10 s) and the counter store_items_outdated show the first, store_age in request_refused and request_answered the second; trace shows items_outdated and store_compacted among the changes of an instance.

--- a/chervilstep/commands/replica.py
+++ b/chervilstep/commands/replica.py
@@ -34,7 +34,8 @@
 MAX_MESSAGE_ITEMS: Final = 200
 MAX_MESSAGE_BYTES: Final = 512 * 1024
 #: Another process may write an invalid value many times a second. One line for
-#: each key in this time is logged; the counter has them all.
+#: each key in this time is logged, and one for outdated items; the counters have
+#: them all.
 REFUSAL_LOG_SECONDS: Final = 10.0
 #: The greatest revision of the store, a signed integer of 64 bits.
 MAX_REVISION: Final = 2**63 - 1
@@ -122,7 +123,9 @@
     node: Node, items: Iterable[StoredItem], as_of: int, now: Instant
 ) -> None:
     """Applies the items that are newer than the known ones."""
-    changed = [item for item in items if queries.is_newer(node, item)]
+    received = tuple(items)
+    _record_outdated(node, received, now)
+    changed = [item for item in received if queries.is_newer(node, item)]
     for item in changed:
         if queries.must_postpone(node, item, now):
             node.replica.postpone(item)
@@ -159,6 +162,7 @@
 
 def record_store_answer(node: Node, now: Instant) -> None:
     """Records an answer of the store, which may end an outage."""
+    node.replica.record_answer(now)
     unavailable_since = node.replica.unavailable_since
     attempt_at = node.replica.failed_attempt_at
     if unavailable_since is None or attempt_at is None:
@@ -271,6 +275,28 @@
         _record_refusal(node, item, str(fault), now)
 
 
+def _record_outdated(
+    node: Node, items: Iterable[StoredItem], now: Instant
+) -> None:
+    """Counts items whose revision is too low, and logs the first one."""
+    outdated = [item for item in items if queries.is_outdated(node, item)]
+    if not outdated:
+        return
+    node.counters.add('store_items_outdated', len(outdated))
+    logged_until = node.replica.outdated_logged_until
+    if logged_until is not None and not logged_until.has_passed(now):
+        return
+    first = outdated[0]
+    node.replica.record_outdated(new_deadline(now, REFUSAL_LOG_SECONDS))
+    node.events.add(
+        'items_outdated',
+        items=len(outdated),
+        key=first.key,
+        revision=first.revision,
+        known_revision=node.replica.items[first.key].revision,
+    )
+
+
 def _record_refusal(
     node: Node, item: StoredItem, fault: str, now: Instant
 ) -> None:
--- a/chervilstep/platform/edge.py
+++ b/chervilstep/platform/edge.py
@@ -21,7 +21,7 @@
 from chervilstep.queries.load import accepts_callers
 from chervilstep.queries.locator import entry_addresses
 from chervilstep.queries.partition import Address
-from chervilstep.queries.refusal_details import refusal_details
+from chervilstep.queries.refusal_details import refusal_details, view_details
 from chervilstep.queries.retry_after import retry_after_seconds
 from chervilstep.refusals import INTERNAL_ERROR, Refusal
 from chervilstep.types import MS_PER_SECOND, Instant, Verdict, new_deadline
@@ -244,7 +244,7 @@
                 ),
                 status=_wire_status(reply),
                 seconds=round(seconds, 4),
-                configuration=self._node.snapshot.version,
+                **view_details(self._node, self._clock()),
             )
         elif reply.status >= HTTPStatus.BAD_REQUEST or (
             self._node.rng.random() < LOGGED_FRACTION
@@ -254,7 +254,7 @@
                 request=call.request_id,
                 status=reply.status,
                 seconds=round(seconds, 4),
-                configuration=self._node.snapshot.version,
+                **view_details(self._node, self._clock()),
             )
 
     def _client_limits(self) -> ClientLimits:
--- a/chervilstep/queries/refusal_details.py
+++ b/chervilstep/queries/refusal_details.py
@@ -10,6 +10,7 @@
     share_rate,
     share_tokens,
 )
+from chervilstep.queries.replica import store_age
 from chervilstep.queries.routing import resolve
 from chervilstep.queries.throttling import describe_limits
 from chervilstep.refusals import RATE_EXCEEDED, UPSTREAMS_LIMITED, Refusal
@@ -17,6 +18,14 @@
 from chervilstep.types import Instant
 
 
+def view_details(node: Node, now: Instant) -> Mapping[str, object]:
+    """Returns the version of the configuration and the age of the view."""
+    return {
+        'configuration': node.snapshot.version,
+        'store_age': store_age(node, now),
+    }
+
+
 def refusal_details(
     node: Node, call: Call, refusal: Refusal, now: Instant
 ) -> Mapping[str, object]:
--- a/chervilstep/queries/replica.py
+++ b/chervilstep/queries/replica.py
@@ -15,6 +15,25 @@
     return known is None or item.revision > known.revision
 
 
+def is_outdated(node: Node, item: StoredItem) -> bool:
+    """Whether another value of the key is known under a higher revision."""
+    known = node.replica.items.get(item.key)
+    return (
+        known is not None
+        and item.revision < known.revision
+        and item.value != known.value
+    )
+
+
+def store_age(node: Node, now: Instant) -> float | None:
+    """Returns the seconds since the store's last answer, to 10 ms.
+
+    Before the first answer, it is None.
+    """
+    answered_at = node.replica.answered_at
+    return None if answered_at is None else round(now - answered_at, 2)
+
+
 def must_postpone(node: Node, item: StoredItem, now: Instant) -> bool:
     """Whether an item is a deletion to postpone after a store outage."""
     postponed_until = node.replica.postponed_until
--- a/chervilstep/queries/tracing.py
+++ b/chervilstep/queries/tracing.py
@@ -18,6 +18,7 @@
 INSTANCE_EVENTS: Final = frozenset(
     (
         'configuration_accepted',
+        'items_outdated',
         'lines_dropped',
         'member_lost',
         'peer_lost',
@@ -25,6 +26,7 @@
         'section_refused',
         'started',
         'stopping',
+        'store_compacted',
         'store_lost',
         'store_regained',
         'store_relayed',
--- a/chervilstep/replica.py
+++ b/chervilstep/replica.py
@@ -39,11 +39,13 @@
     """The newest known revision of each item of the store."""
 
     __slots__ = (
+        '_answered_at',
         '_as_of',
         '_failed_attempt_at',
         '_is_enabled',
         '_items',
         '_listed_at',
+        '_outdated_logged_until',
         '_postponed',
         '_postponed_until',
         '_received_to',
@@ -57,6 +59,8 @@
         self._as_of = 0
         self._listed_at = 0
         self._received_to = 0
+        self._answered_at: Instant | None = None
+        self._outdated_logged_until: Deadline | None = None
         self._failed_attempt_at: Instant | None = None
         self._is_enabled = False
         self._unavailable_since: Instant | None = None
@@ -94,6 +98,16 @@
         """
         return max(self._as_of, self._received_to)
 
+    @property
+    def answered_at(self) -> Instant | None:
+        """When the store last answered; None before its first answer."""
+        return self._answered_at
+
+    @property
+    def outdated_logged_until(self) -> Deadline | None:
+        """Until when further outdated items are not logged."""
+        return self._outdated_logged_until
+
     @property
     def failed_attempt_at(self) -> Instant | None:
         """When the last failed request to the store was sent."""
@@ -147,6 +161,14 @@
         """Records that a refusal of a key was logged."""
         self._refusals_logged[key] = logged_until
 
+    def record_outdated(self, logged_until: Deadline) -> None:
+        """Records that outdated items were logged."""
+        self._outdated_logged_until = logged_until
+
+    def record_answer(self, now: Instant) -> None:
+        """Records an answer of the store."""
+        self._answered_at = now
+
     def record_listing(self, as_of: int) -> None:
         """Records that the items come from a listing at a revision."""
         self._listed_at = as_of
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -16,6 +16,7 @@
     record_store_failure,
 )
 from chervilstep.exceptions import PeerError
+from chervilstep.queries.replica import store_age
 from chervilstep.queries.soonest import SOONEST
 from tests.platform_builders import (
     a_changed_entry,
@@ -295,3 +296,34 @@
     for numbers in ((revision, 1, 1), (1, revision, 1), (1, 1, revision)):
         with pytest.raises(PeerError):
             ReplicaItems([], *numbers)
+
+
+def test_items_with_outdated_revisions_are_counted_and_logged_once():
+    node = a_configured_node()
+    node.events.clear()
+    for now in (1, 2):
+        older = a_stored_item(SERVER_KEY, a_server_entry(port=8081), 2)
+        apply_items(node, [older], 3, now)
+    assert node.counters.total('store_items_outdated') == 2
+    (event,) = node.events.pending
+    assert event.name == 'items_outdated'
+    assert event.fields['revision'] == 2
+    assert event.fields['known_revision'] == 3
+
+
+def test_items_that_are_listed_again_are_not_outdated():
+    node = a_configured_node()
+    apply_listing(
+        node,
+        [a_stored_item(CONFIGURATION_KEY, a_configuration(), 2)],
+        3,
+        0,
+    )
+    assert not node.counters.total('store_items_outdated')
+
+
+def test_age_of_the_stores_last_answer():
+    node = a_replica_node()
+    assert store_age(node, 5) is None
+    record_store_answer(node, 6)
+    assert store_age(node, 8.5) == 2.5
