Reproduce changes that are not in force: a restored store, a silent connection

A fleet of deployed programs whose store returns from a copy, behind the revision that the instances know or ahead of it, and a store's connection that goes silent.

The lab's store can be restored from a copy and names its era; a link can silence its open connections.

--- a/lab/commands/platform_faults.py
+++ b/lab/commands/platform_faults.py
@@ -46,6 +46,12 @@
     store.compact()
 
 
+@PLATFORM_FAULTS.register('restore')
+def restore_copy(store: Store, argument: str) -> None:
+    """Loses all changes after a revision, and starts a new era."""
+    store.restore(int(argument))
+
+
 @PLATFORM_FAULTS.register('recover')
 def recover(store: Store, argument: str) -> None:
     """Clears every fault."""
--- a/lab/links.py
+++ b/lab/links.py
@@ -52,7 +52,14 @@
 class Link:
     """A proxy for the connections to one port."""
 
-    __slots__ = ('_state', '_port', '_server', '_target', '_writers')
+    __slots__ = (
+        '_port',
+        '_server',
+        '_silenced',
+        '_state',
+        '_target',
+        '_writers',
+    )
 
     def __init__(self, port: int, target: int) -> None:
         """Creates a link from ``port`` to ``target``; it is not open yet."""
@@ -61,6 +68,7 @@
         self._state = LinkState()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._silenced: frozenset[asyncio.StreamWriter] = frozenset()
 
     @property
     def port(self) -> int:
@@ -90,6 +98,10 @@
         for writer in tuple(self._writers):
             writer.transport.abort()
 
+    def silence_open_connections(self) -> None:
+        """Drops all further bytes of the open connections, but of no others."""
+        self._silenced = frozenset(self._writers)
+
     async def _proxy_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -124,7 +136,7 @@
         with contextlib.suppress(OSError):
             while chunk := await source.read(_CHUNK_BYTES):
                 await asyncio.sleep(self._state.delay_seconds)
-                if not is_dropped():
+                if not is_dropped() and sink not in self._silenced:
                     sink.write(chunk)
                     await sink.drain()
             sink.write_eof()
--- a/lab/platform.py
+++ b/lab/platform.py
@@ -23,6 +23,7 @@
 _LOOPBACK: Final = '127.0.0.1'
 _MS_PER_SECOND: Final = 1000
 _GONE_STATUS: Final = 410
+_ERA_HEADER: Final = 'Store-Era'
 
 
 @final
@@ -98,6 +99,7 @@
 
     async def prepare(self) -> None:
         self._store.count_call(self.request.path.rpartition('/')[2])
+        self.set_header(_ERA_HEADER, str(self._store.era))
         faults = self._store.faults
         if faults.is_hanging:
             await asyncio.Event().wait()
@@ -134,11 +136,13 @@
     async def get(self) -> None:
         """Answers with the changes after a revision, or with none at timeout.
 
-        A revision in the discarded history is answered with status 410.
+        A revision in the discarded history, or one that the store has not
+        reached, is answered with status 410.
         """
         prefix = self.get_query_argument('prefix')
         after = int(self.get_query_argument('after'))
-        if after < self._store.compacted_revision:
+        known = self._store.compacted_revision, self._store.newest_revision
+        if not known[0] <= after <= known[1]:
             self.set_status(_GONE_STATUS)
             return
         wait_seconds = int(self.get_query_argument('waitMs')) / _MS_PER_SECOND
--- a/lab/store.py
+++ b/lab/store.py
@@ -6,6 +6,7 @@
 
 #: The revision of a store without changes.
 EMPTY_REVISION: Final = 1
+FIRST_ERA: Final = 1
 #: The platform's store lists this many keys per page.
 PAGE_ITEMS: Final = 500
 
@@ -92,6 +93,7 @@
         '_calls',
         '_changes',
         '_compacted_revision',
+        '_era',
         '_faults',
         '_page_items',
     )
@@ -102,6 +104,7 @@
         self._calls: collections.Counter[str] = collections.Counter()
         self._page_items = page_items
         self._compacted_revision = 0
+        self._era = FIRST_ERA
         self._faults = StoreFaults()
 
     @property
@@ -129,6 +132,11 @@
         """The revision up to which the history is discarded."""
         return self._compacted_revision
 
+    @property
+    def era(self) -> int:
+        """The number of the history, which rises with each restore."""
+        return self._era
+
     @property
     def faults(self) -> StoreFaults:
         """The faults in effect."""
@@ -147,6 +155,14 @@
         """Discards the history up to the newest revision."""
         self._compacted_revision = self.newest_revision
 
+    def restore(self, revision: int) -> None:
+        """Returns to a copy made at a revision; later changes are lost."""
+        self._changes = [
+            change for change in self._changes if change.revision <= revision
+        ]
+        self._compacted_revision = min(self._compacted_revision, revision)
+        self._era += 1
+
     def set_faults(self, faults: StoreFaults) -> None:
         """Replaces the faults in effect."""
         self._faults = faults
--- /dev/null
+++ b/tests/drill_builders.py
@@ -0,0 +1,229 @@
+"""Builders of fleets of real processes whose store returns from a copy."""
+
+import asyncio
+import contextlib
+import pathlib
+
+from lab.processes import Processes, free_ports
+from tests.crowd_builders import (
+    BOOT_FILE,
+    TIMEOUT_SECONDS,
+    Program,
+    SoundUpstream,
+    a_free_host,
+    an_environment,
+    ask,
+)
+from tests.platform_builders import (
+    HOST,
+    KEY,
+    a_configuration,
+    a_rule,
+    a_server_entry,
+    a_store,
+)
+
+INSTANCES = 3
+#: The bounds of the users' pages: an instance is up to date so long after the
+#: store has returned, and a change is in force so long after it was confirmed.
+CONTACT_SECONDS = 3.0
+APPLY_SECONDS = 2.0
+#: The store is away for a moment, less than the shortest outage that counts.
+AWAY_SECONDS = 0.6
+#: The reads of an instance in a second without any change: a watch, once more
+#: for its end, and one listing of two pages.
+READS_PER_SECOND = 4
+
+OLD_SERVICE = 'huvo11a'
+NEW_SERVICE = 'lovo22d'
+OLD_PATH = '/leny950/1'
+NEW_PATH = '/nova220/1'
+LEAVING = 'servers/i-leaving'
+STAYING = 'servers/i-staying'
+NEW = 'servers/i-new'
+
+
+class CountingUpstream(SoundUpstream):
+    """A sound upstream that counts the requests that reach it."""
+
+    def __init__(self):
+        super().__init__()
+        self.port = 0
+        self.requests = 0
+
+    async def answer(self, head):
+        self.requests += not head.startswith(b'GET /health')
+        return await super().answer(head)
+
+
+class Outcome:
+    """What callers and upstreams saw after a drill."""
+
+    def __init__(self):
+        self.statuses: dict[str, list[int | None]] = {}
+        #: Requests that upstreams got after the changes had to be in force.
+        self.late_requests: dict[str, int] = {}
+        #: The reads of all instances in the second after the store's return.
+        self.reads = 0
+
+
+class Fleet:
+    """Instances of the deployed program, their store and their upstreams."""
+
+    def __init__(self, store, programs, upstreams):
+        self.store = store
+        self.programs = programs
+        self.upstreams = upstreams
+
+    def put_configuration(self, version, *rules):
+        self.store.put('op/config', a_drill_configuration(version, rules))
+
+    def put_server(self, key, **status):
+        self.store.put(key, self.entry(key, **status))
+
+    def entry(self, key, state='ready', sequence=4):
+        service = NEW_SERVICE if key == NEW else OLD_SERVICE
+        port = self.upstreams[key].port
+        info = {'service': service, 'version': 'v1', 'zone': 'akl', 'slots': 3}
+        status = {'state': state, 'seqNo': sequence, 'coldLeftS': 0}
+        return a_server_entry(port, born=1700, info=info, status=status)
+
+    async def ask_all(self, path, times=1):
+        """Sends requests to each instance; returns the statuses."""
+        return [
+            await ask(program, path, body=b'')
+            for program in self.programs
+            for _ in range(times)
+        ]
+
+    async def wait_for_answers(self, path):
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            while set(await self.ask_all(path)) != {200}:
+                await asyncio.sleep(0.05)
+
+    def request_counts(self):
+        return {key: each.requests for key, each in self.upstreams.items()}
+
+
+@contextlib.asynccontextmanager
+async def a_fleet(folder):
+    """Runs instances of the deployed program over one store; yields them."""
+    async with contextlib.AsyncExitStack() as stack:
+        upstreams = {}
+        for key in (LEAVING, STAYING, NEW):
+            upstreams[key] = CountingUpstream()
+            upstreams[key].port = await upstreams[key].start()
+            stack.push_async_callback(upstreams[key].stop)
+        store = await stack.enter_async_context(a_store())
+        processes = stack.enter_context(Processes(pathlib.Path(folder)))
+        programs = start_programs(processes, pathlib.Path(folder), store)
+        fleet = Fleet(store, programs, upstreams)
+        fleet.put_configuration(5, a_rule())
+        for key in (LEAVING, STAYING, NEW):
+            fleet.put_server(key)
+        await fleet.wait_for_answers(OLD_PATH)
+        yield fleet
+
+
+def start_programs(processes, folder, store):
+    names = ('front', 'ready', 'control', 'directory')
+    ports = dict(zip(names, free_ports(4), strict=True))
+    hosts = free_hosts(INSTANCES)
+    programs = []
+    for host in hosts:
+        addresses = {name: f'{host}:{port}' for name, port in ports.items()}
+        boot = folder / f'{host}.toml'
+        text = BOOT_FILE.format(
+            store=store.address, memory_mb=300, descriptors=4100, **addresses
+        )
+        seeds = ', '.join(f'"{each}:{ports["control"]}"' for each in hosts)
+        own_seed = f'seeds = ["{addresses["control"]}"]'
+        boot.write_text(text.replace(own_seed, f'seeds = [{seeds}]'))
+        with an_environment(CHERVILSTEP_BOOT=str(boot)):
+            processes.start(host, 'chervilstep.platform')
+        programs.append(Program(processes, host, ports))
+    return programs
+
+
+def free_hosts(count):
+    """Returns consecutive loopback addresses, the first one with free ports."""
+    network = int(a_free_host().split('.')[2])
+    return [f'127.0.{network}.{number + 1}' for number in range(count)]
+
+
+def a_drill_configuration(version, rules):
+    cluster = {'healthPath': '/health', 'maxConns': 220}
+    return a_configuration(
+        version=version,
+        tenants=[
+            {
+                'name': 'cuka620',
+                'apiKeys': [KEY],
+                'priority': 1,
+                'ratePerS': 5000,
+                'burst': 5000,
+            }
+        ],
+        listeners=[{'host': HOST, 'ruleSet': list(rules)}],
+        clusters=[
+            {'name': name, **cluster} for name in (OLD_SERVICE, NEW_SERVICE)
+        ],
+    )
+
+
+def a_rule_to_the_new_service():
+    action = {'service': NEW_SERVICE, 'timeoutS': 0.8, 'maxAttempts': 2}
+    return a_rule(action=action)
+
+
+def a_new_rule():
+    return a_rule(name='r-2', match={'prefix': '/nova220/'})
+
+
+async def play_drill(folder, changes_while_away):
+    """Plays a drill and further changes; returns what was seen afterwards.
+
+    In the drill the store loses five versions of the configuration. Changes
+    that it takes while it is away are more than it has lost, so that instances
+    find it beyond the revision that they know.
+    """
+    async with a_fleet(folder) as fleet:
+        platform = fleet.store.platform
+        copied = platform.store.newest_revision
+        for version in range(6, 11):
+            fleet.put_configuration(version, a_rule())
+        await asyncio.sleep(APPLY_SECONDS)
+        await platform.stop_listening()
+        fleet.store.inject_fault('restore', copied)
+        fleet.put_configuration(10, a_rule())
+        if changes_while_away:
+            leave_and_move(fleet)
+            for number in range(8):
+                fleet.store.put(f'other/{number}', {})
+        await asyncio.sleep(AWAY_SECONDS)
+        platform.listen()
+        outcome = Outcome()
+        calls_before = fleet.store.read_count
+        await asyncio.sleep(1)
+        outcome.reads = fleet.store.read_count - calls_before
+        if not changes_while_away:
+            leave_and_move(fleet)
+        await asyncio.sleep(CONTACT_SECONDS)
+        await observe(fleet, outcome)
+        return outcome
+
+
+def leave_and_move(fleet):
+    """Lets an upstream leave, then moves a route, and adds another one."""
+    fleet.store.put(LEAVING, None)
+    fleet.put_configuration(11, a_rule_to_the_new_service(), a_new_rule())
+
+
+async def observe(fleet, outcome):
+    counts = fleet.request_counts()
+    for path in (OLD_PATH, NEW_PATH):
+        outcome.statuses[path] = await fleet.ask_all(path, 4)
+    outcome.late_requests = {
+        key: count - counts[key]
+        for key, count in fleet.request_counts().items()
+    }
--- /dev/null
+++ b/tests/test_drills.py
@@ -0,0 +1,41 @@
+"""Tests of running fleets whose store returns from a copy in a new era."""
+
+import asyncio
+
+import pytest
+
+from tests.drill_builders import (
+    INSTANCES,
+    LEAVING,
+    NEW,
+    NEW_PATH,
+    OLD_PATH,
+    READS_PER_SECOND,
+    play_drill,
+)
+
+#: Whether the store has passed the revisions that it has lost when it returns.
+RETURNS = {'behind': False, 'ahead': True}
+
+
+@pytest.fixture(scope='module', params=RETURNS)
+def outcome(request, tmp_path_factory):
+    folder = tmp_path_factory.mktemp('drill')
+    return asyncio.run(play_drill(folder, RETURNS[request.param]))
+
+
+def test_route_that_moved_after_a_restore_is_not_served_as_before(outcome):
+    assert set(outcome.statuses[OLD_PATH]) == {200}
+    assert outcome.late_requests[NEW] == INSTANCES * 4
+
+
+def test_route_that_was_added_after_a_restore_is_served(outcome):
+    assert set(outcome.statuses[NEW_PATH]) == {200}
+
+
+def test_upstream_that_left_after_a_restore_gets_no_requests(outcome):
+    assert outcome.late_requests[LEAVING] == 0
+
+
+def test_restored_store_is_not_flooded_with_reads(outcome):
+    assert outcome.reads <= INSTANCES * READS_PER_SECOND
--- a/tests/test_lab_platform.py
+++ b/tests/test_lab_platform.py
@@ -27,3 +27,12 @@
     assert visible_revision(store) == 2
     PLATFORM_FAULTS.find('recover')(store, '')
     assert visible_values(store, 'config/')[0].text == 'newer'
+
+
+def test_restored_store_gives_out_revisions_again():
+    store = a_store('config/a', 'config/b')
+    PLATFORM_FAULTS.find('restore')(store, '2')
+    assert store.era == 2
+    assert [value.key for value in visible_values(store, '')] == ['config/a']
+    store.put('config/c', 'new')
+    assert store.newest_revision == 3
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -10,6 +10,8 @@
 from chervilstep.node import new_node
 from chervilstep.platform.source import StoreSource
 from chervilstep.platform.store import new_store_client
+from lab.links import Link
+from lab.processes import free_ports
 from tests.answer_builders import (
     INVALID_STATUSES,
     MALFORMED_CHUNKS,
@@ -30,6 +32,8 @@
 from tests.wire_builders import a_raw_upstream
 
 TEST_TIMEOUT_SECONDS = 10
+#: Machines that were cut off are up to date again so long after the end of it.
+CONTACT_SECONDS = 3.0
 
 
 def with_client(scenario, **options):
@@ -43,9 +47,9 @@
 
 
 @contextlib.asynccontextmanager
-async def a_node_with_a_source(store):
+async def a_node_with_a_source_at(address):
     node = new_node(a_settings(), 1)
-    source = StoreSource(node, f'store://{store.address}')
+    source = StoreSource(node, f'store://{address}')
     task = asyncio.create_task(source.run())
     try:
         yield node
@@ -54,6 +58,10 @@
         await asyncio.gather(task, return_exceptions=True)
 
 
+def a_node_with_a_source(store):
+    return a_node_with_a_source_at(store.address)
+
+
 @contextlib.asynccontextmanager
 async def a_store_with_a_node():
     """Yields a store, and a node that has its configuration version 3."""
@@ -310,3 +318,36 @@
         assert not caught.value.is_compacted
 
     asyncio.run(scenario())
+
+
+@contextlib.asynccontextmanager
+async def a_link_to(store):
+    """Yields a proxy of the store, and the address of the proxy."""
+    (port,) = free_ports(1)
+    link = Link(port, int(store.address.rpartition(':')[2]))
+    await link.open()
+    try:
+        yield link, f'127.0.0.1:{port}'
+    finally:
+        await link.close()
+
+
+def test_change_after_the_connection_went_silent_is_in_force_in_time():
+    """Guards against a watch that waits on a dead connection for too long."""
+
+    async def scenario():
+        async with a_store() as store, a_link_to(store) as (link, address):
+            store.put('op/config', a_configuration(version=3))
+            async with a_node_with_a_source_at(address) as node:
+                await wait_until(lambda: node.snapshot.version == 3)
+                watches = store.platform.store.calls['kv-watch']
+                await wait_until(
+                    lambda: store.platform.store.calls['kv-watch'] > watches
+                )
+                link.silence_open_connections()
+                silent_at = asyncio.get_running_loop().time()
+                store.put('op/config', a_configuration(version=9))
+                await wait_until(lambda: node.snapshot.version == 9)
+                return asyncio.get_running_loop().time() - silent_at
+
+    assert asyncio.run(scenario()) < CONTACT_SECONDS
