Notice a silent connection to the store before a change is overdue

What callers saw: for half a second, changes that were confirmed while the connection to the store was silent were not in force.

Cause: a watch waited 2 s and its answer had another 1.5 s. A connection that goes silent without a reset just after a watch has begun was given up 3.5 s later; an instance must be up to date 3 s after that.

Change: a watch waits 1.7 s and its answer has 0.8 s, so that a new connection is open after 2.7 s at the latest. An idle instance reads 0.59 times a second instead of 0.5; an outage is noticed a second earlier.

--- a/chervilstep/platform/source.py
+++ b/chervilstep/platform/source.py
@@ -23,10 +23,12 @@
 from chervilstep.types import Instant, new_deadline
 
 #: How long a watch waits for a change. Longer waits mean fewer calls, which the
-#: platform bills. But a watch that the store has dropped receives nothing until
-#: it times out, and changes must be in force within 3 s of the recovery of the
-#: store.
-WATCH_WAIT_SECONDS: Final = 2.0
+#: platform bills. But a watch that the store has dropped, or whose connection has
+#: gone silent, receives nothing until it times out, and changes must be in force
+#: 3 s after that. The wait, the timeout of the answer and a new connection fit in.
+WATCH_WAIT_SECONDS: Final = 1.7
+#: The timeout of a watch's answer, in addition to its wait.
+WATCH_ANSWER_SECONDS: Final = 0.8
 #: The delay between a change and the next watch, in which further changes
 #: accumulate: a fraction of the time in which a change must be in force.
 COALESCE_SECONDS: Final = 0.6
@@ -143,7 +145,7 @@
         During an outage it does not wait, which detects the recovery sooner.
         """
         if self._node.replica.unavailable_since is None:
-            return WATCH_WAIT_SECONDS, ANSWER_TIMEOUT_SECONDS
+            return WATCH_WAIT_SECONDS, WATCH_ANSWER_SECONDS
         if self._failures % PATIENT_PERIOD == 0:
             return 0, ANSWER_TIMEOUT_SECONDS
         return 0, OUTAGE_TIMEOUT_SECONDS
--- a/chervilstep/platform/store.py
+++ b/chervilstep/platform/store.py
@@ -15,7 +15,8 @@
 from chervilstep.revisions import Revision
 from chervilstep.types import MS_PER_SECOND
 
-#: The timeout of an answer, in addition to the wait of a watch.
+#: The timeout of an answer, in addition to the wait of a watch, unless the caller
+#: sets a shorter one.
 ANSWER_TIMEOUT_SECONDS: Final = 1.5
 #: More than the largest page, which holds 1 MB before its encoding.
 MAX_ANSWER_BYTES: Final = 8 * 1024 * 1024
--- a/tests/spread_builders.py
+++ b/tests/spread_builders.py
@@ -11,9 +11,9 @@
     MAX_BACKOFF_DOUBLINGS,
     MIN_BACKOFF_SECONDS,
     OUTAGE_TIMEOUT_SECONDS,
+    WATCH_ANSWER_SECONDS,
     WATCH_WAIT_SECONDS,
 )
-from chervilstep.platform.store import ANSWER_TIMEOUT_SECONDS
 from chervilstep.replica import StoredItem
 from chervilstep.revisions import Revision
 from chervilstep.snapshot import new_empty_snapshot
@@ -25,7 +25,7 @@
 #: The resolution of watches and conditions in virtual time.
 POLL_PERIOD_SECONDS = 0.05
 #: The time after which an unresponsive store is detected.
-STORE_TIMEOUT_SECONDS = WATCH_WAIT_SECONDS + ANSWER_TIMEOUT_SECONDS
+STORE_TIMEOUT_SECONDS = WATCH_WAIT_SECONDS + WATCH_ANSWER_SECONDS
 BACKOFF_SECONDS = MIN_BACKOFF_SECONDS * 2**MAX_BACKOFF_DOUBLINGS
 
 
