Keep a withdrawn zone that a restored store lacks until it is written again

The absence of a key in a listing was taken for later than the withdrawal once the restored store had passed the withdrawal's number, so that a zone could get requests between the return and the operator's second writing. An absent key has no revision of its own; it now waits for its writer.

--- a/chervilstep/platform/decoding.py
+++ b/chervilstep/platform/decoding.py
@@ -62,7 +62,7 @@
         return _version(_parse_table(value)['version'])
 
 
-def decode_entry_age(value: bytes) -> tuple[int, int]:
+def decode_entry_order(value: bytes) -> tuple[int, int]:
     """Decodes what orders the entries of one server.
 
     These are the time at which it started, in Unix milliseconds or 0, and its
--- a/chervilstep/platform/items.py
+++ b/chervilstep/platform/items.py
@@ -14,7 +14,7 @@
 from chervilstep.node import Node
 from chervilstep.platform.decoding import (
     decode_config,
-    decode_entry_age,
+    decode_entry_order,
     decode_upstream_entry,
     decode_version,
 )
@@ -85,7 +85,7 @@
     if second.value is None:
         return True
     try:
-        return decode_entry_age(second.value) > decode_entry_age(
+        return decode_entry_order(second.value) > decode_entry_order(
             first.value or b''
         )
     except ItemError:
--- a/chervilstep/queries/restores.py
+++ b/chervilstep/queries/restores.py
@@ -33,8 +33,9 @@
     if item.value == known.value or _is_from_before_deletion(node, item):
         return Later.KNOWN
     is_later = _compare_contents(node, known, item)
-    if is_later is None:
-        # If the known revision was lost, the copy ends before it.
+    if is_later is None and item.value is not None:
+        # If the known revision was lost, the copy ends before it. The absence
+        # of a key has no revision of its own.
         is_later = item.revision.number >= known.revision.number or None
     if is_later is None:
         return Later.UNCERTAIN
--- a/tests/test_restores.py
+++ b/tests/test_restores.py
@@ -68,10 +68,10 @@
     ]
 
 
-def restore(node, *items, now=2):
+def restore(node, *items, now=2, as_of=COPIED):
     """Lets an instance list the store for the first time after its return."""
     listed = items or copied_items(era=2)
-    apply_listing(node, listed, Revision(COPIED, era=2), now)
+    apply_listing(node, listed, Revision(as_of, era=2), now)
 
 
 def upstreams(node):
@@ -155,13 +155,14 @@
     assert not upstreams(node)
 
 
-def test_zone_that_was_withdrawn_after_the_copy_stays_withdrawn():
+@pytest.mark.parametrize('as_of', [COPIED, LOST + 5])
+def test_zone_that_was_withdrawn_after_the_copy_stays_withdrawn(as_of):
     node = an_informed_node(zone={})
-    restore(node)
+    restore(node, as_of=as_of)
     apply_postponed(node, 2 + POSTPONE_SECONDS)
     assert node.snapshot.is_withdrawn('akl')
-    again = a_stored_item(ZONE_KEY, {}, COPIED + 1, era=2)
-    apply_items(node, [again], Revision(COPIED + 1, era=2), 5)
+    again = a_stored_item(ZONE_KEY, {}, as_of + 1, era=2)
+    apply_items(node, [again], Revision(as_of + 1, era=2), 5)
     apply_postponed(node, 2 + 2 * UNCERTAIN_SECONDS)
     assert node.snapshot.is_withdrawn('akl')
 
