Do not take the first listing after items of peers for a restore

An instance that had started while the store was away, and knew items from peers, logged a restore at its first listing and let deletions wait, as its own position was still in era 0. The eras of the items that it has decide now, which also shows a restore to an instance that knows the old era only from peers.

--- a/chervilstep/queries/replica.py
+++ b/chervilstep/queries/replica.py
@@ -32,25 +32,14 @@
     """Returns the postponed items whose deadline has passed."""
     postponed = node.replica.postponed.values()
     return tuple(
-        each.item for each in postponed if not must_wait(node, each, now)
+        each.item for each in postponed if not _must_wait(node, each, now)
     )
 
 
-def must_wait(node: Node, postponed: PostponedItem, now: Instant) -> bool:
-    """Whether a postponed item must not be applied yet.
-
-    A further outage of the store prolongs the wait of deletions.
-    """
-    is_deletion = postponed.item.value is None
-    if is_deletion and deletions_postponed_until(node, now) is not None:
-        return True
-    return not postponed.postponed_until.has_passed(now)
-
-
 def is_restored(node: Node, as_of: Revision) -> bool:
-    """Whether a store at ``as_of`` has returned from a copy."""
-    replica = node.replica
-    return bool(replica.items) and as_of.era > replica.as_of.era
+    """Whether a store at ``as_of`` has returned from a copy since last read."""
+    items = node.replica.items.values()
+    return any(item.revision.era < as_of.era for item in items)
 
 
 def store_age(node: Node, now: Instant) -> float | None:
@@ -138,6 +127,17 @@
     return node.rng.choice(peers) if peers else None
 
 
+def _must_wait(node: Node, postponed: PostponedItem, now: Instant) -> bool:
+    """Whether a postponed item must not be applied yet.
+
+    A further outage of the store prolongs the wait of deletions.
+    """
+    is_deletion = postponed.item.value is None
+    if is_deletion and deletions_postponed_until(node, now) is not None:
+        return True
+    return not postponed.postponed_until.has_passed(now)
+
+
 def _revision_of(item: StoredItem) -> Revision:
     return item.revision
 
--- a/tests/test_restores.py
+++ b/tests/test_restores.py
@@ -256,3 +256,24 @@
     assert event.name == 'store_restored'
     assert event.fields['store_era'] == 2
     assert event.fields['previous_era'] == 1
+
+
+def test_first_listing_after_items_of_peers_is_no_restore():
+    """Guards against a restart that was taken for a restore of the store."""
+    provider = an_informed_node()
+    node = a_replica_node()
+    lose_store(node, 0, 2)
+    ask(node, provider, 2)
+    assert node.snapshot.version == 7
+    apply_listing(node, copied_items(era=1), Revision(COPIED, era=1), 3)
+    assert not node.counters.total('store_restores')
+
+
+def test_starting_instance_knows_the_old_era_from_peers():
+    provider = an_informed_node(config=a_configuration(version=9))
+    node = a_replica_node()
+    lose_store(node, 0, 2)
+    ask(node, provider, 2)
+    restore(node)
+    assert node.snapshot.version == 9
+    assert node.counters.total('store_restores') == 1
