Let entries of upstreams that seem gone wait, and call the era an epoch

A second restore in a row prolongs the wait of deletions, which keeps its bound after an outage.

Epoch is the usual term; era stays the word on the wire. The test modules are named after what they test.

--- a/chervilstep/commands/replica.py
+++ b/chervilstep/commands/replica.py
@@ -152,6 +152,8 @@
         StoredItem(key, as_of, None)
         for key in queries.missing_keys(node, listed_keys, as_of)
     ]
+    for key in queries.withdrawn_keys(node, listed_keys, as_of):
+        node.replica.discard_postponed(key)
     node.replica.record_listing(as_of)
     apply_items(node, (*listed, *deleted), as_of, now)
 
@@ -167,7 +169,7 @@
             'store_lost',
             reason=reason,
             as_of=as_of.number,
-            store_era=as_of.era,
+            store_epoch=as_of.epoch,
         )
     node.replica.record_outage(attempt_at, now)
 
@@ -176,22 +178,18 @@
     """Records an answer of the store, which may end an outage."""
     node.replica.record_answer(now)
     unavailable_since = node.replica.unavailable_since
-    attempt_at = node.replica.failed_attempt_at
-    if unavailable_since is None or attempt_at is None:
+    if unavailable_since is None:
         return
     seconds = now - unavailable_since
     node.events.add(
         'store_regained',
         away_seconds=round(seconds, 2),
         as_of=node.replica.as_of.number,
-        store_era=node.replica.as_of.era,
+        store_epoch=node.replica.as_of.epoch,
     )
-    postponed_until = None
+    node.replica.record_recovery()
     if seconds >= MIN_OUTAGE_SECONDS:
-        postponed_until = new_deadline(now, POSTPONE_SECONDS).earlier(
-            new_deadline(attempt_at, MAX_POSTPONE_SECONDS)
-        )
-    node.replica.record_recovery(postponed_until)
+        _postpone_deletions(node, now)
 
 
 @every(QUERY_PERIOD_SECONDS, 'replica-ask')
@@ -264,7 +262,7 @@
             'store_relayed',
             peer=peer,
             as_of=as_of.number,
-            store_era=as_of.era,
+            store_epoch=as_of.epoch,
             complete_from=message.complete_from[0],
             is_complete=is_complete,
         )
@@ -283,13 +281,23 @@
     node.events.add(
         'store_restored',
         as_of=as_of.number,
-        store_era=as_of.era,
+        store_epoch=as_of.epoch,
         previous_as_of=previous.number,
-        previous_era=previous.era,
+        previous_epoch=previous.epoch,
     )
-    if queries.deletions_postponed_until(node, now) is None:
-        # Upstreams that registered after the copy register again.
-        node.replica.postpone_deletions(new_deadline(now, POSTPONE_SECONDS))
+    # Upstreams that registered after the copy register again.
+    _postpone_deletions(node, now)
+
+
+def _postpone_deletions(node: Node, now: Instant) -> None:
+    """Lets deletions wait until living upstreams have registered again."""
+    postponed_until = new_deadline(now, POSTPONE_SECONDS)
+    attempt_at = node.replica.failed_attempt_at
+    if attempt_at is not None:
+        postponed_until = postponed_until.earlier(
+            new_deadline(attempt_at, MAX_POSTPONE_SECONDS)
+        )
+    node.replica.postpone_deletions(postponed_until)
 
 
 def _admit_item(node: Node, item: StoredItem, now: Instant) -> None:
@@ -346,9 +354,9 @@
             items=len(outdated),
             key=first.key,
             revision=first.revision.number,
-            store_era=first.revision.era,
+            store_epoch=first.revision.epoch,
             known_revision=known.revision.number,
-            known_era=known.revision.era,
+            known_epoch=known.revision.epoch,
         )
 
 
--- a/chervilstep/hooks.py
+++ b/chervilstep/hooks.py
@@ -102,9 +102,9 @@
 #: Commands that apply an item of the platform's store; they raise
 #: ``ItemError`` if the item is invalid or outdated.
 ItemReader: TypeAlias = Callable[[Node, StoredItem, Instant], None]
-#: Queries that compare two items of a key by their contents: whether the second
-#: one was written after the first one, or None if the contents do not tell. The
-#: second one may be a deletion.
+#: Queries that compare a known and a received item of a key by their contents:
+#: whether the received one was written later, or None if the contents do not tell.
+#: Either may be a deletion.
 ItemOrder: TypeAlias = Callable[[StoredItem, StoredItem], bool | None]
 
 CHECKS: Final[HookList[Check]] = HookList()
@@ -129,7 +129,7 @@
 #: Commands that read an item of the platform's store, by the first segment of
 #: its key.
 ITEM_READERS: Final[Registry[ItemReader]] = new_registry('item reader')
-#: Queries that compare items of the platform's store across its eras, by the
+#: Queries that compare items of the platform's store across its epochs, by the
 #: first segment of their keys.
 ITEM_ORDERS: Final[Registry[ItemOrder]] = new_registry('item order')
 #: Commands that apply changes of the replica of the platform's store.
--- a/chervilstep/platform/items.py
+++ b/chervilstep/platform/items.py
@@ -66,39 +66,43 @@
 
 @ITEM_ORDERS.register('op')
 def is_later_operator_item(
-    first: StoredItem, second: StoredItem
+    known: StoredItem, received: StoredItem
 ) -> bool | None:
-    """Whether the second of two operator items is the later one."""
-    if first.key == CONFIGURATION_KEY:
+    """Whether a received item of the operators is later than the known one."""
+    if known.key == CONFIGURATION_KEY:
         # The operators replace a configuration, but never delete it.
-        return second.value is not None and _is_higher_version(first, second)
+        return received.value is not None and _is_higher_version(
+            known, received
+        )
     # A withdrawal that is not known yet must not wait.
-    return None if second.value is None else True
+    return None if received.value is None else True
 
 
 @ITEM_ORDERS.register('servers')
-def is_later_server_item(first: StoredItem, second: StoredItem) -> bool | None:
-    """Whether the second of two entries of a server is the later one.
+def is_later_server_item(
+    known: StoredItem, received: StoredItem
+) -> bool | None:
+    """Whether a received entry of a server is later than the known one.
 
     An entry that is missing has expired.
     """
-    if second.value is None:
+    if received.value is None:
         return True
     try:
-        return decode_entry_order(second.value) > decode_entry_order(
-            first.value or b''
+        return decode_entry_order(received.value) > decode_entry_order(
+            known.value or b''
         )
     except ItemError:
         return None
 
 
-def _is_higher_version(first: StoredItem, second: StoredItem) -> bool:
-    """Whether the second configuration is valid and has a higher version."""
+def _is_higher_version(known: StoredItem, received: StoredItem) -> bool:
+    """Whether a received configuration is valid and has a higher version."""
     try:
-        received = decode_version(second.value or b'')
+        version = decode_version(received.value or b'')
     except ItemError:
         return False
     try:
-        return received > decode_version(first.value or b'')
+        return version > decode_version(known.value or b'')
     except ItemError:
         return True
--- a/chervilstep/platform/source.py
+++ b/chervilstep/platform/source.py
@@ -117,7 +117,7 @@
     async def _read(self) -> None:
         if not self._has_listing:
             listing = await self._client.list_all()
-            self._require_era(listing)
+            self._require_epoch(listing)
             now = time.monotonic()
             record_store_answer(self._node, now)
             self._record_skipped(listing)
@@ -128,7 +128,7 @@
         changes = await self._client.watch(
             self._node.replica.as_of, *self._watch_times()
         )
-        self._require_era(changes)
+        self._require_epoch(changes)
         self._has_watched = True
         self._failures = 0
         now = time.monotonic()
@@ -150,12 +150,12 @@
             return 0, ANSWER_TIMEOUT_SECONDS
         return 0, OUTAGE_TIMEOUT_SECONDS
 
-    def _require_era(self, answer: StoreItems) -> None:
+    def _require_epoch(self, answer: StoreItems) -> None:
         """Refuses an answer from before the last return from a copy."""
-        known_era = self._node.replica.as_of.era
-        if answer.as_of.era < known_era:
+        known_epoch = self._node.replica.as_of.epoch
+        if answer.as_of.epoch < known_epoch:
             raise StoreError(
-                f'the answer is of era {answer.as_of.era}, not {known_era}'
+                f'the answer is of epoch {answer.as_of.epoch}, not {known_epoch}'
             )
 
     def _record_skipped(self, answer: StoreItems) -> None:
--- a/chervilstep/platform/store.py
+++ b/chervilstep/platform/store.py
@@ -22,8 +22,8 @@
 MAX_ANSWER_BYTES: Final = 8 * 1024 * 1024
 
 #: The number of times that the store has returned from a copy.
-_ERA_HEADER: Final = 'Store-Era'
-_ERA_PATTERN: Final = re.compile('[0-9]{1,18}')
+_EPOCH_HEADER: Final = 'Store-Era'
+_EPOCH_PATTERN: Final = re.compile('[0-9]{1,18}')
 _STATUS_OK: Final = 200
 #: The store has discarded the revisions that a watch requests.
 _STATUS_GONE: Final = 410
@@ -96,8 +96,8 @@
         skipped = page.skipped
         while page.has_more:
             page = await self._get_page(items[-1].key)
-            if page.as_of.era != as_of.era:
-                raise StoreError('the era of the store changed in a listing')
+            if page.as_of.epoch != as_of.epoch:
+                raise StoreError('the epoch of the store changed in a listing')
             items.extend(page.items)
             skipped += page.skipped
         return StoreItems(items, as_of, skipped=skipped)
@@ -124,7 +124,7 @@
         }
         timeout_seconds = wait_seconds + answer_seconds
         changes = await self._get('kv-watch', query, timeout_seconds)
-        if changes.as_of.era > after.era:
+        if changes.as_of.epoch > after.epoch:
             raise StoreError(
                 'the store has returned from a copy', is_compacted=True
             )
@@ -154,8 +154,8 @@
                 f'the store answered with status {response.status}',
                 is_compacted=response.status == _STATUS_GONE,
             )
-        era = _decode_era(response.headers.get(_ERA_HEADER, '0'))
-        return _decode_items(_parse_table(response.body), era)
+        epoch = _decode_epoch(response.headers.get(_EPOCH_HEADER, '0'))
+        return _decode_items(_parse_table(response.body), epoch)
 
 
 def _parse_table(body: bytes) -> dict[str, Any]:
@@ -170,57 +170,57 @@
     return table
 
 
-def _decode_era(text: str) -> int:
-    if not _ERA_PATTERN.fullmatch(text):
-        raise StoreError('the era of the store is not a number')
+def _decode_epoch(text: str) -> int:
+    if not _EPOCH_PATTERN.fullmatch(text):
+        raise StoreError('the epoch of the store is not a number')
     return int(text)
 
 
-def _decode_items(table: dict[str, Any], era: int) -> StoreItems:
+def _decode_items(table: dict[str, Any], epoch: int) -> StoreItems:
     try:
-        return _store_items(table, era)
+        return _store_items(table, epoch)
     except DECODE_ERRORS as fault:
         raise StoreError(
             f'cannot decode the items of the store: {fault}'
         ) from fault
 
 
-def _store_items(table: dict[str, Any], era: int) -> StoreItems:
+def _store_items(table: dict[str, Any], epoch: int) -> StoreItems:
     entries = table.get('events', table.get('items', []))
     items = [
-        _try_decode_item(entry, era) for entry in fields.require_list(entries)
+        _try_decode_item(entry, epoch) for entry in fields.require_list(entries)
     ]
     sound = [item for item in items if item is not None]
     return StoreItems(
         sound,
-        _revision(table['asOf'], era),
+        _revision(table['asOf'], epoch),
         has_more=bool(table.get('hasMore')),
         skipped=len(items) - len(sound),
     )
 
 
-def _try_decode_item(entry: object, era: int) -> StoredItem | None:
+def _try_decode_item(entry: object, epoch: int) -> StoredItem | None:
     """Returns an item, or None if its key or its revision is invalid.
 
     Any process can write to the store, so one odd item must not hide the
     others.
     """
     try:
-        return _decode_item(fields.require_table(entry), era)
+        return _decode_item(fields.require_table(entry), epoch)
     except DECODE_ERRORS:
         return None
 
 
-def _decode_item(table: fields.Table, era: int) -> StoredItem:
+def _decode_item(table: fields.Table, epoch: int) -> StoredItem:
     key = fields.require_name(table['key'])
-    revision = _revision(table['revision'], era)
+    revision = _revision(table['revision'], epoch)
     if table.get('deleted'):
         return StoredItem(key, revision, None)
     return StoredItem(key, revision, _decode_value(table.get('value')))
 
 
-def _revision(field: object, era: int) -> Revision:
-    return Revision(fields.require_integer(field, 0, fields.MAX_INTEGER), era)
+def _revision(field: object, epoch: int) -> Revision:
+    return Revision(fields.require_integer(field, 0, fields.MAX_INTEGER), epoch)
 
 
 def _decode_value(encoded: object) -> bytes:
--- a/chervilstep/queries/gauges.py
+++ b/chervilstep/queries/gauges.py
@@ -34,10 +34,10 @@
         yield GaugeValue(section.revision.number, section=name)
 
 
-@GAUGES.register('store_era')
-def read_store_era(node: Node, now: Instant) -> Iterable[GaugeValue]:
+@GAUGES.register('store_epoch')
+def read_store_epoch(node: Node, now: Instant) -> Iterable[GaugeValue]:
     """Yields how many times the store has returned from a copy."""
-    yield GaugeValue(node.replica.as_of.era)
+    yield GaugeValue(node.replica.as_of.epoch)
 
 
 @GAUGES.register('section_faults')
--- a/chervilstep/queries/replica.py
+++ b/chervilstep/queries/replica.py
@@ -9,7 +9,7 @@
 
 def is_newer(node: Node, item: StoredItem) -> bool:
     """Whether an item is newer than the known item of its key."""
-    if item.revision.era < node.replica.as_of.era:
+    if item.revision.epoch < node.replica.as_of.epoch:
         return False
     known = node.replica.items.get(item.key)
     postponed = node.replica.postponed.get(item.key)
@@ -39,7 +39,7 @@
 def is_restored(node: Node, as_of: Revision) -> bool:
     """Whether a store at ``as_of`` has returned from a copy since last read."""
     items = node.replica.items.values()
-    return any(item.revision.era < as_of.era for item in items)
+    return any(item.revision.epoch < as_of.epoch for item in items)
 
 
 def store_age(node: Node, now: Instant) -> float | None:
@@ -72,6 +72,19 @@
     )
 
 
+def withdrawn_keys(
+    node: Node, listed_keys: frozenset[str], as_of: Revision
+) -> tuple[str, ...]:
+    """Returns the keys of postponed values that a full listing lacks."""
+    return tuple(
+        key
+        for key, postponed in node.replica.postponed.items()
+        if key not in listed_keys
+        and postponed.item.value is not None
+        and postponed.item.revision <= as_of
+    )
+
+
 def knows_deletions_after(node: Node, revision: Revision) -> bool:
     """Whether no deletion after a revision is missing from the items."""
     return node.replica.listed_at <= revision
--- a/chervilstep/queries/restores.py
+++ b/chervilstep/queries/restores.py
@@ -25,14 +25,16 @@
 def later_value(node: Node, item: StoredItem) -> Later:
     """Returns which is later: what is known of a key or the received item.
 
-    The revisions decide within an era, and after the first listing of one.
+    The revisions decide within an epoch, and after the first listing of one.
     """
     known = _known_item(node, item.key)
     if _is_later_by_revision(node, known, item):
         return Later.RECEIVED
-    if item.value == known.value or _is_from_before_deletion(node, item):
+    if item.value == known.value:
         return Later.KNOWN
-    is_later = _compare_contents(node, known, item)
+    if _is_from_before_deletion(node, item):
+        return Later.UNCERTAIN
+    is_later = _compare_contents(known, item)
     if is_later is None and item.value is not None:
         # If the known revision was lost, the copy ends before it. The absence
         # of a key has no revision of its own.
@@ -53,9 +55,9 @@
 ) -> bool:
     listed_at = node.replica.listed_at
     is_written_since = (
-        item.revision.era == listed_at.era and item.revision > listed_at
+        item.revision.epoch == listed_at.epoch and item.revision > listed_at
     )
-    return is_written_since or known.revision.era >= item.revision.era
+    return is_written_since or known.revision.epoch >= item.revision.epoch
 
 
 def _is_from_before_deletion(node: Node, item: StoredItem) -> bool:
@@ -68,12 +70,9 @@
     )
 
 
-def _compare_contents(
-    node: Node, known: StoredItem, item: StoredItem
-) -> bool | None:
+def _compare_contents(known: StoredItem, item: StoredItem) -> bool | None:
     """Whether the received value is the later one by its content, if known."""
     kind = item.key.partition('/')[0]
     if kind not in ITEM_ORDERS:
         return None
-    last = node.replica.last_values.get(item.key, known)
-    return ITEM_ORDERS.find(kind)(last, item)
+    return ITEM_ORDERS.find(kind)(known, item)
--- a/chervilstep/queries/status.py
+++ b/chervilstep/queries/status.py
@@ -65,7 +65,7 @@
     )
     return {
         'as_of': replica.as_of.number,
-        'era': replica.as_of.era,
+        'epoch': replica.as_of.epoch,
         'away_seconds': round(unavailable_seconds, 1),
     }
 
--- a/chervilstep/replica.py
+++ b/chervilstep/replica.py
@@ -135,7 +135,10 @@
 
     @property
     def failed_attempt_at(self) -> Instant | None:
-        """When the last failed request to the store was sent."""
+        """When the last failed request of the latest outage was sent.
+
+        It is None after the second answer of the store.
+        """
         return self._failed_attempt_at
 
     @property
@@ -190,6 +193,10 @@
         """Stores an item to be applied at a deadline."""
         self._postponed[item.key] = PostponedItem(item, postponed_until)
 
+    def discard_postponed(self, key: str) -> None:
+        """Drops the postponed item of a key, if there is one."""
+        self._postponed.pop(key, None)
+
     def advance(self, as_of: Revision) -> None:
         """Records that the replica is complete up to a revision."""
         self._as_of = max(self._as_of, as_of)
@@ -201,6 +208,8 @@
     def record_answer(self, now: Instant) -> None:
         """Records an answer of the store."""
         self._answered_at = now
+        if self._unavailable_since is None:
+            self._failed_attempt_at = None
 
     def record_listing(self, as_of: Revision) -> None:
         """Records that the items come from a listing at a revision."""
@@ -216,11 +225,9 @@
         if self._unavailable_since is None:
             self._unavailable_since = now
 
-    def record_recovery(self, postponed_until: Deadline | None) -> None:
+    def record_recovery(self) -> None:
         """Records that the store is available again."""
         self._unavailable_since = None
-        if postponed_until is not None:
-            self.postpone_deletions(postponed_until)
 
     def postpone_deletions(self, postponed_until: Deadline) -> None:
         """Sets the deadline until which deletions wait."""
--- a/lab/commands/platform_faults.py
+++ b/lab/commands/platform_faults.py
@@ -54,7 +54,7 @@
 
 @PLATFORM_FAULTS.register('restore')
 def restore_copy(store: Store, argument: str) -> None:
-    """Loses all changes after a revision, and starts a new era."""
+    """Loses all changes after a revision, and starts a new epoch."""
     store.restore(int(argument))
 
 
--- a/lab/platform.py
+++ b/lab/platform.py
@@ -23,7 +23,7 @@
 _LOOPBACK: Final = '127.0.0.1'
 _MS_PER_SECOND: Final = 1000
 _GONE_STATUS: Final = 410
-_ERA_HEADER: Final = 'Store-Era'
+_EPOCH_HEADER: Final = 'Store-Era'
 
 
 @final
@@ -99,7 +99,7 @@
 
     async def prepare(self) -> None:
         self._store.count_call(self.request.path.rpartition('/')[2])
-        self.set_header(_ERA_HEADER, str(self._store.era))
+        self.set_header(_EPOCH_HEADER, str(self._store.epoch))
         faults = self._store.faults
         if faults.is_hanging:
             await asyncio.Event().wait()
--- a/lab/store.py
+++ b/lab/store.py
@@ -6,7 +6,7 @@
 
 #: The revision of a store without changes.
 EMPTY_REVISION: Final = 1
-FIRST_ERA: Final = 1
+FIRST_EPOCH: Final = 1
 #: The platform's store lists this many keys per page.
 PAGE_ITEMS: Final = 500
 
@@ -101,7 +101,7 @@
         '_calls',
         '_changes',
         '_compacted_revision',
-        '_era',
+        '_epoch',
         '_faults',
         '_page_items',
     )
@@ -112,7 +112,7 @@
         self._calls: collections.Counter[str] = collections.Counter()
         self._page_items = page_items
         self._compacted_revision = 0
-        self._era = FIRST_ERA
+        self._epoch = FIRST_EPOCH
         self._faults = StoreFaults()
 
     @property
@@ -141,9 +141,9 @@
         return self._compacted_revision
 
     @property
-    def era(self) -> int:
+    def epoch(self) -> int:
         """The number of the history, which rises with each restore."""
-        return self._era
+        return self._epoch
 
     @property
     def faults(self) -> StoreFaults:
@@ -169,7 +169,7 @@
             change for change in self._changes if change.revision <= revision
         ]
         self._compacted_revision = min(self._compacted_revision, revision)
-        self._era += 1
+        self._epoch += 1
 
     def set_faults(self, faults: StoreFaults) -> None:
         """Replaces the faults in effect."""
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -102,9 +102,9 @@
     return json.dumps(table).encode()
 
 
-def a_stored_item(key, table, revision=1, era=0):
+def a_stored_item(key, table, revision=1, epoch=0):
     value = None if table is None else encode_json(table)
-    return StoredItem(key, Revision(revision, era), value)
+    return StoredItem(key, Revision(revision, epoch), value)
 
 
 class StoreStandIn:
--- a/tests/replica_builders.py
+++ b/tests/replica_builders.py
@@ -138,7 +138,7 @@
         return not (live_keys(node) ^ self.live_keys()) - uncertain_keys(node)
 
     def has_read_all(self, index):
-        newest = Revision(self.store.newest_revision, self.store.era)
+        newest = Revision(self.store.newest_revision, self.store.epoch)
         return self.nodes[index].replica.as_of == newest
 
     def is_in_touch(self, index):
@@ -155,9 +155,9 @@
         if index in self.cut_off:
             record_store_failure(node, 'silent', self.now, self.now)
             return
-        as_of = Revision(self.store.newest_revision, self.store.era)
+        as_of = Revision(self.store.newest_revision, self.store.epoch)
         is_compacted = node.replica.as_of.number < self.store.compacted_revision
-        is_restored = node.replica.as_of.era != as_of.era
+        is_restored = node.replica.as_of.epoch != as_of.epoch
         record_store_answer(node, self.now)
         if index not in self.listed or is_compacted or is_restored:
             self.listed.add(index)
@@ -170,7 +170,7 @@
         return [
             StoredItem(
                 change.key,
-                Revision(change.revision, self.store.era),
+                Revision(change.revision, self.store.epoch),
                 None if change.text is None else change.text.encode(),
             )
             for change in changed_values(self.store, '', revision)
--- a/tests/drill_builders.py
+++ b/tests/store_fault_builders.py
@@ -61,7 +61,7 @@
 
 
 class Outcome:
-    """What callers and upstreams saw after a drill."""
+    """What callers and upstreams saw after a restore of the store."""
 
     def __init__(self):
         self.statuses: dict[str, list[int | None]] = {}
@@ -82,7 +82,9 @@
         self.upstreams = upstreams
 
     def put_configuration(self, version, *rules):
-        self.store.put('op/config', a_drill_configuration(version, rules))
+        self.store.put(
+            'op/config', a_configuration_with_both_services(version, rules)
+        )
 
     def put_server(self, key, **status):
         self.store.put(key, self.entry(key, **status))
@@ -169,7 +171,7 @@
     return [f'127.0.{network}.{number + 1}' for number in range(count)]
 
 
-def a_drill_configuration(version, rules):
+def a_configuration_with_both_services(version, rules):
     cluster = {'healthPath': '/health', 'maxConns': 220}
     return a_configuration(
         version=version,
@@ -198,12 +200,12 @@
     return a_rule(name='r-2', match={'prefix': '/nova220/'})
 
 
-async def play_drill(folder, changes_while_away):
-    """Plays a drill and further changes; returns what was seen afterwards.
+async def play_restore(folder, changes_while_away):
+    """Restores the store from a copy, then changes it; returns what was seen.
 
-    In the drill the store loses five versions of the configuration. Changes
-    that it takes while it is away are more than it has lost, so that instances
-    find it beyond the revision that they know.
+    The store loses five versions of the configuration. Changes that it takes
+    while it is away are more than it has lost, so that instances find it beyond
+    the revision that they know.
     """
     async with a_fleet(folder) as fleet:
         platform = fleet.store.platform
@@ -248,7 +250,7 @@
 
 
 class Observation:
-    """What callers and upstreams see during a run of random drills."""
+    """What callers and upstreams see during a run of random faults."""
 
     def __init__(self, fleet):
         self._fleet = fleet
@@ -276,8 +278,8 @@
         self._count_at_leaving = self._fleet.upstreams[LEAVING].requests
 
 
-async def play_random_drills(folder, seed):
-    """Plays two drills in a row; returns an observation and an outcome."""
+async def play_random_restores(folder, seed):
+    """Plays two restores in a row; returns an observation and an outcome."""
     rng = random.Random(seed)
     async with a_fleet(folder) as fleet:
         observation = Observation(fleet)
@@ -294,7 +296,7 @@
         await asyncio.sleep(APPLY_SECONDS + rng.uniform(0, 1))
         observation.expect_no_more_requests()
         for _ in range(2):
-            await play_one_drill(fleet, rng, copied)
+            await play_one_restore(fleet, rng, copied)
             copied = fleet.store.platform.store.newest_revision - rng.randrange(
                 3
             )
@@ -309,7 +311,7 @@
         return observation, outcome
 
 
-async def play_one_drill(fleet, rng, copied):
+async def play_one_restore(fleet, rng, copied):
     """Lets the store return from a copy; its writers write again later."""
     platform = fleet.store.platform
     lost = {
--- a/tests/test_lab_platform.py
+++ b/tests/test_lab_platform.py
@@ -32,7 +32,7 @@
 def test_restored_store_gives_out_revisions_again():
     store = a_store('config/a', 'config/b')
     PLATFORM_FAULTS.find('restore')(store, '2')
-    assert store.era == 2
+    assert store.epoch == 2
     assert [value.key for value in visible_values(store, '')] == ['config/a']
     store.put('config/c', 'new')
     assert store.newest_revision == 3
--- a/tests/test_replica_machine.py
+++ b/tests/test_replica_machine.py
@@ -90,7 +90,7 @@
     def no_revision_runs_ahead(self):
         for node in self.fleet.nodes:
             newest = Revision(
-                self.fleet.store.newest_revision, self.fleet.store.era
+                self.fleet.store.newest_revision, self.fleet.store.epoch
             )
             assert node.replica.as_of <= newest
 
--- a/tests/test_sources.py
+++ b/tests/test_sources.py
@@ -157,7 +157,7 @@
     async def scenario():
         async with a_store_with_a_source() as (platform, node):
             await wait_until(lambda: accepts_key(node))
-            revision = Revision(99, era=1)
+            revision = Revision(99, epoch=1)
             item = StoredItem('sections/customers', revision, b'\xff')
             apply_items(node, [item], revision, 0)
             assert accepts_key(node)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -89,12 +89,12 @@
 
     listing = with_client(scenario, page_items=3)
     assert len(listing.items) == 7
-    assert listing.as_of == Revision(8, era=1)
+    assert listing.as_of == Revision(8, epoch=1)
 
 
 def test_watch_waits_for_a_change():
     async def scenario(store, client):
-        watch = asyncio.create_task(client.watch(Revision(1, era=1), 5))
+        watch = asyncio.create_task(client.watch(Revision(1, epoch=1), 5))
         await asyncio.sleep(0.05)
         assert not watch.done()
         store.put('servers/i-1', a_server_entry())
@@ -106,7 +106,7 @@
 
 def test_watch_without_a_change_times_out():
     async def scenario(store, client):
-        return await client.watch(Revision(1, era=1), 0.05)
+        return await client.watch(Revision(1, epoch=1), 0.05)
 
     assert not with_client(scenario).items
 
@@ -114,7 +114,7 @@
 def test_deleted_item_has_no_value():
     async def scenario(store, client):
         store.put('servers/i-1', None)
-        return await client.watch(Revision(1, era=1), 1)
+        return await client.watch(Revision(1, epoch=1), 1)
 
     (item,) = with_client(scenario).items
     assert item.value is None
@@ -125,7 +125,7 @@
         store.put('servers/i-1', a_server_entry())
         store.inject_fault('compact')
         with pytest.raises(StoreError) as caught:
-            await client.watch(Revision(1, era=1), 1)
+            await client.watch(Revision(1, epoch=1), 1)
         return caught.value.is_compacted
 
     assert with_client(scenario)
@@ -357,7 +357,7 @@
     assert asyncio.run(scenario()) < CONTACT_SECONDS
 
 
-def an_answer_of_era(*headers):
+def an_answer_of_epoch(*headers):
     body = encode_json({'items': [], 'events': [], 'asOf': 5, 'hasMore': False})
     lines = b''.join(b'Store-Era: %s\r\n' % each for each in headers)
     length = b'Content-Length: %d\r\n' % len(body)
@@ -375,10 +375,10 @@
 
 
 @pytest.mark.parametrize(
-    ('headers', 'era'), [((), 0), ((b'0',), 0), ((b'7',), 7), ((b'007',), 7)]
+    ('headers', 'epoch'), [((), 0), ((b'0',), 0), ((b'7',), 7), ((b'007',), 7)]
 )
-def test_era_of_an_answer(headers, era):
-    assert list_store(an_answer_of_era(*headers)).as_of.era == era
+def test_epoch_of_an_answer(headers, epoch):
+    assert list_store(an_answer_of_epoch(*headers)).as_of.epoch == epoch
 
 
 @pytest.mark.parametrize(
@@ -395,13 +395,13 @@
         (b'1', b'2'),
     ],
 )
-def test_invalid_era_raises_store_error(headers):
+def test_invalid_epoch_raises_store_error(headers):
     with pytest.raises(StoreError) as caught:
-        list_store(an_answer_of_era(*headers))
+        list_store(an_answer_of_epoch(*headers))
     assert not caught.value.is_compacted
 
 
-def test_era_that_changes_within_a_listing_raises_store_error():
+def test_epoch_that_changes_within_a_listing_raises_store_error():
     first = {
         'items': [{'key': 'a', 'revision': 1, 'value': ''}],
         'asOf': 5,
@@ -410,21 +410,21 @@
     body = encode_json(first)
     page = b'HTTP/1.1 200 OK\r\nStore-Era: 1\r\nContent-Length: %d\r\n\r\n'
     with pytest.raises(StoreError):
-        list_store(page % len(body) + body, an_answer_of_era(b'2'))
+        list_store(page % len(body) + body, an_answer_of_epoch(b'2'))
 
 
-def test_answer_of_an_older_era_changes_nothing():
+def test_answer_of_an_older_epoch_changes_nothing():
     async def scenario():
         async with a_store_with_a_node() as (store, node):
             store.put('op/config', a_configuration(version=4))
             await wait_until(lambda: node.snapshot.version == 4)
-            apply_listing(node, [], Revision(1, era=5), 0)
+            apply_listing(node, [], Revision(1, epoch=5), 0)
             store.put('op/config', a_configuration(version=9))
             await wait_until(
                 lambda: node.counters.total_over_labels('store_failures') > 1
             )
             assert node.snapshot.version == 4
-            assert node.replica.as_of == Revision(1, era=5)
+            assert node.replica.as_of == Revision(1, epoch=5)
 
     asyncio.run(scenario())
 
--- a/tests/test_drills.py
+++ b/tests/test_store_faults.py
@@ -5,29 +5,29 @@
 
 import pytest
 
-from tests.drill_builders import (
+from tests.store_fault_builders import (
     INSTANCES,
     LEAVING,
     NEW,
     NEW_PATH,
     OLD_PATH,
     READS_PER_SECOND,
-    play_drill,
-    play_random_drills,
     play_random_outages,
+    play_random_restores,
+    play_restore,
 )
 
 #: Whether the store has passed the revisions that it has lost when it returns.
 RETURNS = {'behind': False, 'ahead': True}
-#: More seeds are played by hand: DRILL_SEEDS=1,2,3.
-RESTORE_SEEDS = os.environ.get('DRILL_SEEDS', '2,5').split(',')
-OUTAGE_SEEDS = os.environ.get('DRILL_SEEDS', '2').split(',')
+#: More seeds are played by hand: STORE_FAULT_SEEDS=1,2,3.
+RESTORE_SEEDS = os.environ.get('STORE_FAULT_SEEDS', '2,5').split(',')
+OUTAGE_SEEDS = os.environ.get('STORE_FAULT_SEEDS', '2').split(',')
 
 
 @pytest.fixture(scope='module', params=RETURNS)
 def outcome(request, tmp_path_factory):
-    folder = tmp_path_factory.mktemp('drill')
-    return asyncio.run(play_drill(folder, RETURNS[request.param]))
+    folder = tmp_path_factory.mktemp('restore')
+    return asyncio.run(play_restore(folder, RETURNS[request.param]))
 
 
 def test_route_that_moved_after_a_restore_is_not_served_as_before(outcome):
@@ -48,8 +48,8 @@
 
 
 @pytest.mark.parametrize('seed', RESTORE_SEEDS)
-def test_random_drills_revert_nothing(tmp_path, seed):
-    observation, outcome = asyncio.run(play_random_drills(tmp_path, seed))
+def test_random_restores_revert_nothing(tmp_path, seed):
+    observation, outcome = asyncio.run(play_random_restores(tmp_path, seed))
     assert observation.statuses == {200}
     assert observation.late_requests == 0
     assert set(outcome.statuses[NEW_PATH]) == {200}
