--- a/chervilstep/platform/source.py
+++ b/chervilstep/platform/source.py
@@ -26,9 +26,9 @@
 #: platform bills. But a watch that the store has dropped, or whose connection has
 #: gone silent, receives nothing until it times out, and changes must be in force
 #: 3 s after that. The wait, the timeout of the answer and a new connection fit in.
-WATCH_WAIT_SECONDS: Final = 1.7
+WATCH_WAIT_SECONDS: Final = 2.0
 #: The timeout of a watch's answer, in addition to its wait.
-WATCH_ANSWER_SECONDS: Final = 0.8
+WATCH_ANSWER_SECONDS: Final = 0.6
 #: The delay between a change and the next watch, in which further changes
 #: accumulate: a fraction of the time in which a change must be in force.
 COALESCE_SECONDS: Final = 0.6
