--- a/chervilstep/queries/restores.py
+++ b/chervilstep/queries/restores.py
@@ -35,12 +35,8 @@
     if _is_from_before_deletion(node, item):
         return Later.UNCERTAIN
     is_later = _compare_contents(known, item)
-    if is_later is None and item.value is not None:
-        # If the known revision was lost, the copy ends before it. The absence
-        # of a key has no revision of its own.
-        is_later = item.revision.number >= known.revision.number or None
     if is_later is None:
-        return Later.UNCERTAIN
+        return _later_by_number(known, item)
     return Later.RECEIVED if is_later else Later.KNOWN
 
 
@@ -60,6 +56,19 @@
     return is_written_since or known.revision.epoch >= item.revision.epoch
 
 
+def _later_by_number(known: StoredItem, item: StoredItem) -> Later:
+    """Compares the numbers of an item and of a known one of an older epoch.
+
+    If the known revision was lost, the copy ends before it, so that an item with
+    a higher number was written after the return. The absence of a key has no
+    number of its own.
+    """
+    is_beyond_copy = item.revision.number >= known.revision.number
+    if item.value is not None and is_beyond_copy:
+        return Later.RECEIVED
+    return Later.UNCERTAIN
+
+
 def _is_from_before_deletion(node: Node, item: StoredItem) -> bool:
     """Whether the item is the one that was deleted last under its key."""
     last = node.replica.last_values.get(item.key)
