--- a/chervilstep/commands/replica.py
+++ b/chervilstep/commands/replica.py
@@ -152,7 +152,7 @@
         StoredItem(key, as_of, None)
         for key in queries.missing_keys(node, listed_keys, as_of)
     ]
-    for key in queries.withdrawn_keys(node, listed_keys, as_of):
+    for key in queries.unlisted_values(node, listed_keys, as_of):
         node.replica.discard_postponed(key)
     node.replica.record_listing(as_of)
     apply_items(node, (*listed, *deleted), as_of, now)
--- a/chervilstep/queries/replica.py
+++ b/chervilstep/queries/replica.py
@@ -72,7 +72,7 @@
     )
 
 
-def withdrawn_keys(
+def unlisted_values(
     node: Node, listed_keys: frozenset[str], as_of: Revision
 ) -> tuple[str, ...]:
     """Returns the keys of postponed values that a full listing lacks."""
