--- a/review/6/case.py
+++ b/review/6/case.py
@@ -11,8 +11,8 @@
 
 import standins
 
-#: Runs take this long; a request is hedged after 0.45 of an aim of 0.1 s.
-WORK_SECONDS = 0.044
+#: Runs take so long; a request is hedged after 0.45 of an aim of 0.1 s.
+WORK_SECONDS = (0.039, 0.0465)
 AIM_SECONDS = 0.1
 LOAD_SECONDS = 55
 #: At most 2 of them are emptied and taken away.
--- a/review/stand-2/memory.py
+++ b/review/stand-2/memory.py
@@ -53,7 +53,7 @@
 
     async def restart(self, machine):
         """Ends a process, and starts it after a short delay."""
-        self.ends[machine] += 1
+        self.ends[machine] = self.ends.get(machine, 0) + 1
         code = machine.exit_code
         self.record.write(
             f'{machine.name} ends: {self.peaks[machine]:.0f} MB of'
@@ -66,6 +66,17 @@
         with contextlib.suppress(TimeoutError):
             await machine.wait_until_ready()
 
+    def count_lost(self, deployment):
+        """Returns how many requests were passed on and got no answer."""
+        runs = {run[-1] for run in deployment.runs_of('svc-b')}
+        lost = len(runs.intersection(self.lost))
+        self.record.write(
+            f'ordinary requests: {self.answered} answered, {len(self.lost)}'
+            ' sent on kept connections that then closed without an answer, of'
+            f' which {lost} have run'
+        )
+        return lost
+
     async def call_often(self, machine):
         """Is an ordinary caller on a kept connection."""
         while True:
@@ -93,11 +104,8 @@
         await asyncio.sleep(POLL_SECONDS)
 
 
-async def watch_deployment(folder, record, attack, *, at_once):
-    """Returns whether the processes of a small deployment stay in their limit.
-
-    ``at_once`` says whether all machines are attacked at the same time.
-    """
+async def watch_deployment(folder, record, attack):
+    """Returns whether the processes of a small deployment stay in their limit."""
     deployment = standins.Deployment(folder)
     watch = Watch(record)
     callers = []
@@ -109,15 +117,12 @@
                 asyncio.create_task(watch.call_often(machine)) for _ in range(4)
             )
         until = time.monotonic() + WATCH_SECONDS
-        follows = [
-            watch.follow(machine, attack, until)
-            for machine in deployment.machines
-        ]
-        if at_once:
-            await asyncio.gather(*follows)
-        else:
-            for follow in follows:
-                await follow
+        await asyncio.gather(
+            *(
+                watch.follow(machine, attack, until)
+                for machine in deployment.machines
+            )
+        )
     finally:
         for caller in callers:
             caller.cancel()
@@ -127,11 +132,6 @@
             f'{machine.name}: {watch.ends[machine]} ends, last peak'
             f' {watch.peaks.get(machine, 0):.0f} MB'
         )
-    runs = {run[-1] for run in deployment.runs_of('svc-b')}
-    record.write(
-        f'ordinary requests: {watch.answered} answered, {len(watch.lost)} sent on'
-        ' kept connections that then closed without an answer, of which'
-        f' {len(runs.intersection(watch.lost))} have run'
-    )
+    watch.count_lost(deployment)
     ended = [ends >= MAX_ENDS for ends in watch.ends.values()]
     return sum(ended) < MIN_MACHINES
--- a/review/stand-2/standins.py
+++ b/review/stand-2/standins.py
@@ -24,7 +24,12 @@
 KEY = 'nn2ctnfzs989anu6wsjn'
 TENANT = 'cuka620'
 PAGE_ITEMS = 500
+PAGE_BYTES = 1_000_000
+#: ``historyS`` of the settings.
+HISTORY_SECONDS = 20
 MEMORY_MB = 300
+#: The shortest and the longest run of a server.
+WORK_SECONDS = (0.02, 0.02)
 #: The bounds of the settings in DEPLOY.md.
 BOUNDS = {
     'seedLagS': 3,
@@ -84,6 +89,7 @@
         self._items = {}
         self._changes = []
         self._revision = 10
+        self._forgotten_to = 10
         self._changed = asyncio.Event()
 
     async def listen(self):
@@ -93,20 +99,24 @@
         self._server = server
 
     def put(self, key, table):
-        """Writes an item, or deletes it if the table is None."""
+        """Writes a JSON table or bytes, or deletes the item for None."""
         self._revision += 1
         item = {'key': key, 'revision': self._revision}
         if table is None:
             item['deleted'] = True
             self._items.pop(key, None)
         else:
-            item['value'] = base64.b64encode(
-                json.dumps(table).encode()
-            ).decode()
+            value = table
+            if not isinstance(table, bytes):
+                value = json.dumps(table).encode()
+            item['value'] = base64.b64encode(value).decode()
             item['createRev'] = self._revision
             item['lease'] = 0
             self._items[key] = item
-        self._changes.append(item)
+        now = time.monotonic()
+        self._changes.append((now, item))
+        while self._changes[0][0] < now - HISTORY_SECONDS:
+            self._forgotten_to = self._changes.pop(0)[1]['revision']
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -141,19 +151,26 @@
                 for key in self._items
                 if key.startswith(prefix) and key > after
             )
+            page = []
+            size = 0
+            while len(page) < min(len(keys), PAGE_ITEMS) and size < PAGE_BYTES:
+                page.append(self._items[keys[len(page)]])
+                size += len(page[-1]['value'])
             return 200, {
-                'items': [self._items[key] for key in keys[:PAGE_ITEMS]],
-                'hasMore': len(keys) > PAGE_ITEMS,
+                'items': page,
+                'hasMore': len(keys) > len(page),
                 'asOf': self._revision,
             }
         if path != '/api/kv-watch':
             return 404, {}
         after = int(fields['after'])
+        if after < self._forgotten_to:
+            return 410, {}
         end = time.monotonic() + int(fields['waitMs']) / 1000
         while True:
             events = [
                 item
-                for item in self._changes
+                for _, item in self._changes
                 if item['revision'] > after and item['key'].startswith(prefix)
             ]
             left = end - time.monotonic()
@@ -167,8 +184,8 @@
 class Server:
     """A server of a service: 3 slots and a short queue, tells its load."""
 
-    def __init__(self, store, identity, service, work=0.02, slots=3):
-        """Creates a server; each run takes ``work`` seconds."""
+    def __init__(self, store, identity, service, work=WORK_SECONDS, slots=3):
+        """Creates a server; ``work`` has the bounds of the time of a run."""
         self.identity = identity
         self.service = service
         self.runs = []
@@ -182,6 +199,7 @@
         self._writes = 0
         self._state = 'ready'
         self._beats = None
+        self._writers = set()
 
     async def start(self):
         """Serves at a free port and registers itself."""
@@ -193,10 +211,23 @@
         self._beats = asyncio.create_task(self._beat())
         return self
 
-    async def leave(self):
-        """Drains, and then takes the entry away, as a planned stop does."""
+    def drain(self):
+        """Reports that it drains, and returns when the store has accepted it."""
         self._state = 'draining'
         self._write()
+        return time.monotonic()
+
+    def exit(self):
+        """Ends, with what it runs."""
+        self._beats.cancel()
+        self._server.close()
+        self._store.put(f'servers/{self.identity}', None)
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
+    async def leave(self):
+        """Drains, and then takes the entry away, as a planned stop does."""
+        self.drain()
         await asyncio.sleep(BOUNDS['drainS'] + 0.5)
         self._beats.cancel()
         self._store.put(f'servers/{self.identity}', None)
@@ -228,11 +259,14 @@
         )
 
     async def _serve(self, reader, writer):
+        self._writers.add(writer)
         try:
             while True:
                 await self._serve_one(reader, writer)
         except CLOSED:
             writer.close()
+        finally:
+            self._writers.discard(writer)
 
     async def _serve_one(self, reader, writer):
         head = await reader.readuntil(b'\r\n\r\n')
@@ -266,7 +300,7 @@
                 (time.monotonic(), method, target, body, request_id)
             )
             try:
-                await asyncio.sleep(self._work)
+                await asyncio.sleep(random.uniform(*self._work))
             finally:
                 self._running -= 1
 
@@ -442,7 +476,7 @@
 class Deployment:
     """A store, the servers of two services and some machines."""
 
-    def __init__(self, folder, machines=2, servers=3, work=0.02):
+    def __init__(self, folder, machines=2, servers=3, work=WORK_SECONDS):
         """Creates a deployment; ``servers`` is the number of each service."""
         self.store = Store()
         self.servers = []
